Refuse settings with file, line, key and cure; stop daemons as planned

Settings are checked while they are read, so that an error has its line. Daemons handle SIGTERM and SIGINT, end with documented codes, and end when a thread panics. Examples for both deployments are read by a test.

Ruled out: checks after reading (the line is lost then); the server library's stoppable().

--- a/persimmon-agent/src/main.rs
+++ b/persimmon-agent/src/main.rs
@@ -1,37 +1,15 @@
 //! The agent daemon.
 
-use std::path::PathBuf;
-use std::thread;
-
-use anyhow::{Context, bail};
-use persimmondrift::{agent, settings};
-
-const HELP: &str = "persimmon-agent [--check-settings] SETTINGS.toml
-";
-
-fn main() -> anyhow::Result<()> {
-    let mut parser = lexopt::Parser::from_env();
-    let mut check = false;
-    let mut file: Option<PathBuf> = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            lexopt::Arg::Long("check-settings") => check = true,
-            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
-                print!("{HELP}");
-                return Ok(());
-            }
-            lexopt::Arg::Value(value) if file.is_none() => file = Some(value.into()),
-            other => bail!("{}; see --help", other.unexpected()),
-        }
-    }
-    let file = file.context("no settings file is named; see --help")?;
-    let settings = settings::read(file)?;
-    if check {
-        println!("the settings are valid");
-        return Ok(());
-    }
-    let _handle = agent::start(settings)?;
-    loop {
-        thread::park();
-    }
+use std::process::ExitCode;
+
+use persimmondrift::{agent, daemon, settings};
+
+fn main() -> ExitCode {
+    daemon::run(
+        "persimmon-agent",
+        |settings: &settings::Agent| settings.process.clone(),
+        agent::start,
+        agent::Handle::failed,
+        |handle, process| handle.drain(process.drain.0),
+    )
 }
--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -92,6 +92,7 @@
                 target: target.url(),
                 worker: worker.url(),
                 capacity: CAPACITY,
+                process: settings::Process::default(),
             })
             .context("agent")?;
             seats.push(Seat { node, agent, target, worker });
@@ -132,6 +133,7 @@
         entries,
         table,
         tokens: vec![settings::Token { operator: "founder".parse()?, secret: TOKEN.to_owned() }],
+        process: settings::Process::default(),
     })
 }
 
--- a/persimmondrift/src/adapter/caller.rs
+++ b/persimmondrift/src/adapter/caller.rs
@@ -77,6 +77,17 @@
     Stopping,
 }
 
+impl Conclusion {
+    /// Returns the word for the outcome, as its header carries it.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Outcome(outcome) => outcome.word(),
+            Self::Refused(_) => "refused",
+        }
+    }
+}
+
 impl Ask {
     /// Returns whether the request may run more than once: by its method.
     #[must_use]
--- a/persimmondrift/src/admit.rs
+++ b/persimmondrift/src/admit.rs
@@ -55,6 +55,18 @@
     Unknown(Doubt),
 }
 
+impl Outcome {
+    /// Returns the word for it in headers, logs and metrics.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// Why a request did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cause {
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use crate::adapter::link::{Arrival, Link};
-use crate::adapter::{target, worker};
+use crate::adapter::{Http, target, watch, worker};
+use crate::metric::{self, value};
 use crate::settings;
 use crate::unit::{Boot, Time};
 use crate::wire::{self, Body};
@@ -36,12 +37,14 @@
     waiters: request::Waiters,
     origin: Instant,
     connections: std::sync::atomic::AtomicUsize,
+    metrics: metric::Agent,
     stop: AtomicBool,
 }
 
 /// A running agent.
 pub struct Handle {
     shared: Arc<Shared>,
+    watch: Option<Http>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -65,6 +68,7 @@
         settings,
         origin: Instant::now(),
         connections: std::sync::atomic::AtomicUsize::new(0),
+        metrics: metric::Agent::default(),
         stop: AtomicBool::new(false),
     });
     crate::log!(Started, "agent {} at {}", shared.settings.node, shared.link.address());
@@ -75,7 +79,15 @@
         spawn(&shared, Shared::list),
         spawn(&shared, move |shared| work::run(shared, &orders)),
     ];
-    Ok(Handle { shared, threads })
+    Ok(Handle { watch: start_watch(&shared)?, shared, threads })
+}
+
+fn start_watch(shared: &Arc<Shared>) -> std::io::Result<Option<Http>> {
+    let Some(listen) = shared.settings.process.watch else {
+        return Ok(None);
+    };
+    let (ready, measured) = (Arc::clone(shared), Arc::clone(shared));
+    watch::start(listen, move || ready.core().ready(), move || measured.render()).map(Some)
 }
 
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Arc<Shared>) + Send + 'static) -> JoinHandle<()> {
@@ -90,8 +102,22 @@
         self.shared.link.address()
     }
 
+    /// Returns the address for health, readiness and metrics, if there is one.
+    #[must_use]
+    pub fn watch(&self) -> Option<SocketAddr> {
+        self.watch.as_ref().map(|http| http.address)
+    }
+
+    /// Returns whether a thread has ended that runs until the stop.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+            || self.watch.as_ref().is_some_and(Http::failed)
+    }
+
     /// Takes nothing new; what runs goes on.
     pub fn leave(&self) {
+        crate::log!(Stopping, "agent {}", self.shared.settings.node);
         let now = self.shared.now();
         let effects = self.shared.core().leave(now);
         self.shared.perform(effects);
@@ -111,6 +137,9 @@
         for thread in self.threads {
             let _ = thread.join();
         }
+        if let Some(watch) = self.watch {
+            watch.stop();
+        }
     }
 
     /// Leaves, waits until nothing runs or the time is over, then stops.
@@ -125,6 +154,20 @@
 }
 
 impl Shared {
+    fn render(&self) -> String {
+        let metrics = &self.metrics;
+        {
+            let core = self.core();
+            metrics.version.set(value(core.version().0));
+            metrics.slots.set(self.settings.capacity.slots.0.into());
+            metrics.running.set(core.gate.running().into());
+            metrics.waiting.set(value(core.gate.waiting()));
+            metrics.parts.set(value(core.parts()));
+            metrics.leaving.set(core.leaving().into());
+        }
+        metrics.render()
+    }
+
     fn now(&self) -> Time {
         Time(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -89,6 +89,26 @@
         requests + self.gate.waiting() + self.holder.holdings().len()
     }
 
+    /// Returns whether it takes new work and hears an entry.
+    pub fn ready(&self) -> bool {
+        !self.leaving() && self.entries.alive().next().is_some()
+    }
+
+    /// Returns whether it takes nothing new.
+    pub fn leaving(&self) -> bool {
+        self.announce.state == State::Leaving
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn version(&self) -> Version {
+        self.config.version
+    }
+
+    /// Returns the number of parts held or run.
+    pub fn parts(&self) -> usize {
+        self.holder.holdings().len()
+    }
+
     /// Returns whether any part is held or runs.
     pub fn runs_parts(&self) -> bool {
         !self.holder.holdings().is_empty()
--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Shared;
 use super::core::Fetched;
@@ -56,8 +56,10 @@
         };
         let body = match frame.body {
             Body::Call(call) => {
-                let request = call.request;
-                Body::Outcome(request, run(shared, call))
+                let (request, class, begin) = (call.request, call.class, Instant::now());
+                let outcome = run(shared, call);
+                shared.metrics.request(outcome.word(), class, begin.elapsed());
+                Body::Outcome(request, outcome)
             }
             Body::Cancel(request) => {
                 let proved = shared.core().gate.cancel(request);
--- /dev/null
+++ b/persimmondrift/src/daemon.rs
@@ -0,0 +1,172 @@
+//! What the daemons have in common: arguments, settings, signals and exit codes.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use std::{io, panic, thread};
+
+use serde::de::DeserializeOwned;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
+
+use crate::settings::{self, Process};
+use crate::{log, metric};
+
+/// Pause between two looks at signals and threads.
+const POLL: Duration = Duration::from_millis(50);
+/// Exit code when the process could not start.
+pub const EXIT_START: u8 = 1;
+/// Exit code when the arguments or the settings are refused.
+pub const EXIT_SETTINGS: u8 = 2;
+/// Exit code when a thread of the process ended by a panic.
+pub const EXIT_PANIC: u8 = 3;
+
+/// Reports why a daemon does not run.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// An argument is wrong.
+    #[error("{0}; see --help")]
+    Argument(#[from] lexopt::Error),
+    /// No settings file is named.
+    #[error("no settings file is named; see --help")]
+    NoFile,
+    /// The settings are refused.
+    #[error("{0}")]
+    Settings(#[from] settings::Error),
+    /// The log cannot be opened.
+    #[error("{0}")]
+    Log(#[from] log::Error),
+    /// A socket or a signal handler cannot be set up.
+    #[error("cannot start: {0}; see whether an address of the settings is in use")]
+    Start(#[from] io::Error),
+}
+
+/// What the command line asks for.
+enum Ask {
+    Help,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+/// Runs a daemon until a signal asks it to stop, and returns its exit code.
+///
+/// `process` picks the common settings, `start` starts it, `failed` tells whether one of its
+/// threads has ended, and `stop` carries out the planned stop.
+pub fn run<S: DeserializeOwned, H>(
+    name: &str,
+    process: impl Fn(&S) -> Process,
+    start: impl FnOnce(S) -> io::Result<H>,
+    failed: impl Fn(&H) -> bool,
+    stop: impl FnOnce(H, &Process),
+) -> ExitCode {
+    let result = read_arguments().and_then(|ask| match ask {
+        Ask::Help => {
+            print!("{}", help(name));
+            Ok(ExitCode::SUCCESS)
+        }
+        Ask::Check(file) => {
+            settings::read::<S>(&file)?;
+            println!("{}: the settings are valid", file.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Ask::Run(file) => {
+            let settings = settings::read::<S>(&file)?;
+            let process = process(&settings);
+            log::open(&process)?;
+            serve(&process, || start(settings), failed, stop)
+        }
+    });
+    let code = result.unwrap_or_else(|error| {
+        eprintln!("{name}: {error}");
+        match &error {
+            Error::Argument(_) | Error::NoFile => ExitCode::from(EXIT_SETTINGS),
+            Error::Settings(cause) => {
+                crate::warn!(SettingsRefused, "{cause}");
+                ExitCode::from(EXIT_SETTINGS)
+            }
+            Error::Log(_) | Error::Start(_) => ExitCode::from(EXIT_START),
+        }
+    });
+    log::flush();
+    code
+}
+
+fn help(name: &str) -> String {
+    format!(
+        "{name} [--check-settings] SETTINGS.toml
+
+  --check-settings  checks the settings file, starts nothing, and ends
+  --help            prints this text
+
+SIGTERM and SIGINT ask for a planned stop; a second one ends the process at once.
+
+Exit codes:
+  0  a planned stop, or the settings are valid
+  {EXIT_START}  the process could not start, or a second signal ended it
+  {EXIT_SETTINGS}  the arguments or the settings are refused
+  {EXIT_PANIC}  a thread ended by a panic
+"
+    )
+}
+
+fn read_arguments() -> Result<Ask, Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut check = false;
+    let mut file = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("check-settings") => check = true,
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(Ask::Help),
+            lexopt::Arg::Value(value) if file.is_none() => file = Some(value.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or(Error::NoFile)?;
+    Ok(if check { Ask::Check(file) } else { Ask::Run(file) })
+}
+
+/// Starts, waits for a signal or a panic, and stops.
+fn serve<H>(
+    process: &Process,
+    start: impl FnOnce() -> io::Result<H>,
+    failed: impl Fn(&H) -> bool,
+    stop: impl FnOnce(H, &Process),
+) -> Result<ExitCode, Error> {
+    let asked = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        // Registered first, so that only a second signal finds the flag set.
+        flag::register_conditional_shutdown(signal, EXIT_START.into(), Arc::clone(&asked))?;
+        flag::register(signal, Arc::clone(&asked))?;
+    }
+    let panicked = watch_panics();
+    let handle = start()?;
+    while !asked.load(Ordering::Relaxed) {
+        // A process whose threads are partly gone must not look alive.
+        if panicked.load(Ordering::Relaxed) || failed(&handle) {
+            return Ok(ExitCode::from(EXIT_PANIC));
+        }
+        thread::sleep(POLL);
+    }
+    stop(handle, process);
+    Ok(if panicked.load(Ordering::Relaxed) {
+        ExitCode::from(EXIT_PANIC)
+    } else {
+        ExitCode::SUCCESS
+    })
+}
+
+/// Logs each panic of any thread, and remembers it.
+fn watch_panics() -> Arc<AtomicBool> {
+    let panicked = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&panicked);
+    let before = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        flag.store(true, Ordering::Relaxed);
+        metric::panicked();
+        crate::warn!(Panicked, "{}", info.to_string().replace('\n', " "));
+        before(info);
+    }));
+    panicked
+}
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -6,6 +6,7 @@
 mod request;
 mod role;
 mod table;
+mod watched;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,7 +17,8 @@
 use rouille::Response;
 
 use crate::adapter::link::{self, Arrival, Link};
-use crate::adapter::{self, Http, caller, operator};
+use crate::adapter::{self, Http, caller, operator, watch};
+use crate::metric;
 use crate::settings;
 use crate::store::Calls;
 use crate::unit::{Boot, Time};
@@ -44,6 +46,7 @@
     work: mpsc::Sender<table::Order>,
     origin: Instant,
     leaving: AtomicBool,
+    metrics: metric::Entry,
     stop: AtomicBool,
 }
 
@@ -52,6 +55,7 @@
     shared: Arc<Shared>,
     callers: Http,
     operators: Http,
+    watch: Option<Http>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -64,20 +68,23 @@
     let boot = Boot(fastrand::u64(1..));
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
+    let metrics = metric::Entry::default();
     let shared = Arc::new(Shared {
         core: Mutex::new(Core::new(&settings, link.address())),
         random: Mutex::new(fastrand::Rng::new()),
         pool: pool::Pool::default(),
-        table: adapter::table::calls(&settings.table),
+        table: metrics.watch_store(adapter::table::calls(&settings.table)),
         work,
         link,
         settings,
         origin: Instant::now(),
         leaving: AtomicBool::new(false),
+        metrics,
         stop: AtomicBool::new(false),
     });
     let callers = start_callers(&shared)?;
     let operators = start_operators(&shared)?;
+    let watch = start_watch(&shared)?;
     crate::log!(
         Started,
         "entry {} at {}, callers {}, operators {}",
@@ -92,7 +99,7 @@
         spawn(&shared, Shared::tick),
         spawn(&shared, move |shared| table::run(shared, &orders)),
     ];
-    Ok(Handle { shared, callers, operators, threads })
+    Ok(Handle { shared, callers, operators, watch, threads })
 }
 
 fn start_callers(shared: &Arc<Shared>) -> std::io::Result<Http> {
@@ -104,7 +111,12 @@
             return Response::text("").with_status_code(if leaving { 503 } else { 200 });
         }
         let conclusion = match caller::read(request) {
-            Ok(ask) => request::conclude(&shared, ask),
+            Ok(ask) => {
+                let (class, begin) = (ask.class, Instant::now());
+                let conclusion = request::conclude(&shared, ask);
+                shared.metrics.request(conclusion.word(), class, begin.elapsed());
+                conclusion
+            }
             Err(refusal) => {
                 crate::warn!(RequestRefused, "{refusal}");
                 caller::Conclusion::Refused(refusal)
@@ -127,6 +139,15 @@
     })
 }
 
+fn start_watch(shared: &Arc<Shared>) -> std::io::Result<Option<Http>> {
+    let Some(listen) = shared.settings.process.watch else {
+        return Ok(None);
+    };
+    let (ready, measured) = (Arc::clone(shared), Arc::clone(shared));
+    let open = move || !ready.leaving.load(Ordering::Relaxed);
+    watch::start(listen, open, move || watched::render(&measured)).map(Some)
+}
+
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Arc<Shared>) + Send + 'static) -> JoinHandle<()> {
     let shared = Arc::clone(shared);
     thread::spawn(move || run(&shared))
@@ -151,10 +172,32 @@
         self.operators.address
     }
 
+    /// Returns the address for health, readiness and metrics, if there is one.
+    #[must_use]
+    pub fn watch(&self) -> Option<SocketAddr> {
+        self.watch.as_ref().map(|http| http.address)
+    }
+
+    /// Returns whether a thread has ended that runs until the stop.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        let http = [Some(&self.callers), Some(&self.operators), self.watch.as_ref()];
+        self.threads.iter().any(JoinHandle::is_finished)
+            || http.into_iter().flatten().any(Http::failed)
+    }
+
+    /// Leaves, gives the balancer time to notice, then stops.
+    pub fn drain(self, notice: Duration) {
+        self.leave();
+        thread::sleep(notice);
+        self.stop();
+    }
+
     /// Fails the health check, so that the balancer sends no more callers.
     pub fn leave(&self) {
-        self.shared.leaving.store(true, Ordering::Relaxed);
-        crate::log!(Stopping, "entry {}", self.shared.settings.node);
+        if !self.shared.leaving.swap(true, Ordering::Relaxed) {
+            crate::log!(Stopping, "entry {}", self.shared.settings.node);
+        }
     }
 
     /// Stops accepting, waits for what is in flight, and ends the process's threads.
@@ -162,6 +205,9 @@
         self.leave();
         self.callers.stop();
         self.operators.stop();
+        if let Some(watch) = self.watch {
+            watch.stop();
+        }
         self.shared.stop.store(true, Ordering::Relaxed);
         // The accept call waits for a connection: this one wakes it.
         drop(link::connect(self.shared.link.address(), TICK));
--- a/persimmondrift/src/entry/request.rs
+++ b/persimmondrift/src/entry/request.rs
@@ -73,6 +73,7 @@
             crate::log!(Concluded, "request {:032x}: {}", request.0, word(&outcome));
             return Conclusion::Outcome(outcome);
         }
+        shared.metrics.retries.inc();
         crate::log!(Retried, "request {:032x}: {}", request.0, word(&outcome));
         last = Some(Conclusion::Outcome(outcome));
         excluded.push(choice.node);
--- /dev/null
+++ b/persimmondrift/src/entry/watched.rs
@@ -0,0 +1,48 @@
+//! The metrics of an entry, filled in when they are asked for.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+
+use super::Shared;
+use crate::member::{Judgement, View};
+use crate::metric::value;
+
+/// Fills in what is counted now, and writes all metrics.
+pub fn render(shared: &Shared) -> String {
+    let metrics = &shared.metrics;
+    metrics.leaving.set(i64::from(shared.leaving.load(Ordering::Relaxed)));
+    {
+        let core = shared.core();
+        metrics.version.set(value(core.config.version.0));
+        metrics.jobs.set(value(core.config.jobs.len()));
+        for (role, counts) in
+            [("agent", judgements(&core.agents)), ("entry", judgements(&core.entries))]
+        {
+            for (judgement, count) in counts {
+                metrics.members.with_label_values(&[role, judgement]).set(count);
+            }
+        }
+        metrics.free.reset();
+        metrics.zone_jobs.reset();
+        for (zone, role) in &core.roles {
+            let summary = role.summary();
+            metrics.free.with_label_values(&[zone.as_str()]).set(summary.free.0.into());
+            let waiting = metrics.zone_jobs.with_label_values(&[zone.as_str(), "waiting"]);
+            waiting.set(value(summary.waiting));
+        }
+    }
+    metrics.render()
+}
+
+fn judgements<T>(view: &View<T>) -> BTreeMap<&'static str, i64> {
+    let mut counts = BTreeMap::from([("alive", 0), ("suspect", 0), ("dead", 0)]);
+    for (_, member) in view.iter() {
+        let word = match member.judgement {
+            Judgement::Alive => "alive",
+            Judgement::Suspect => "suspect",
+            Judgement::Dead => "dead",
+        };
+        *counts.entry(word).or_default() += 1;
+    }
+    counts
+}
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -22,6 +22,8 @@
     Stopping = 102,
     /// A settings file is refused.
     SettingsRefused = 103,
+    /// A thread ended by a panic; the process ends.
+    Panicked = 104,
     /// A frame is malformed or over its bound.
     FrameRefused = 110,
     /// A request of a caller is malformed or over its bound.
@@ -77,15 +79,17 @@
 /// Logs an event at the information level, with its number, name and text.
 #[macro_export]
 macro_rules! log {
-    ($event:ident, $($text:tt)+) => {
+    ($event:ident, $($text:tt)+) => {{
+        $crate::metric::event($crate::event::Event::$event);
         ::spdlog::info!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    };
+    }};
 }
 
 /// Logs an event at the warning level, with its number, name and text.
 #[macro_export]
 macro_rules! warn {
-    ($event:ident, $($text:tt)+) => {
+    ($event:ident, $($text:tt)+) => {{
+        $crate::metric::event($crate::event::Event::$event);
         ::spdlog::warn!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    };
+    }};
 }
--- /dev/null
+++ b/persimmondrift/src/metric.rs
@@ -0,0 +1,300 @@
+//! Metrics of the daemons. Names and units are listed in `docs/OPERATING.md`.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::event::{ALL, Event};
+use crate::place::Class;
+use crate::store::{Calls, Error, Outcome};
+
+/// Bounds of the buckets of all durations, in seconds.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+/// Event numbers are below this one.
+const EVENTS: usize = 1_000;
+
+static EVENT_COUNTS: [AtomicU64; EVENTS] = [const { AtomicU64::new(0) }; EVENTS];
+static LOG_DROPPED: AtomicU64 = AtomicU64::new(0);
+static PANICS: AtomicU64 = AtomicU64::new(0);
+
+/// Name and help of a metric.
+type Named = (&'static str, &'static str);
+
+const EVENTS_TOTAL: Named = ("persimmon_events_total", "Log events by number");
+const LOG_DROPPED_TOTAL: Named = ("persimmon_log_dropped_total", "Log lines dropped");
+const PANICS_TOTAL: Named = ("persimmon_panics_total", "Panics of any thread");
+const REQUEST_SECONDS: Named =
+    ("persimmon_request_seconds", "Time of callers' requests by outcome and class");
+const RETRIES_TOTAL: Named = ("persimmon_retries_total", "Further tries of requests");
+const MEMBERS: Named = ("persimmon_members", "Members by role and judgement");
+const CONFIG_VERSION: Named = ("persimmon_config_version", "Version of the configuration in force");
+const STORE_SECONDS: Named =
+    ("persimmon_store_seconds", "Time of calls of the table service by call and outcome");
+const ZONE_FREE: Named =
+    ("persimmon_zone_free_accelerators", "Free accelerators of each zone planned here");
+const ZONE_JOBS: Named = ("persimmon_zone_jobs", "Jobs of each zone planned here by state");
+const JOBS: Named = ("persimmon_jobs", "Jobs accepted and not ended");
+const ATTEMPTS_TOTAL: Named = ("persimmon_attempts_total", "Attempts of jobs by ending");
+const SLOTS: Named = ("persimmon_slots", "Slots of the target");
+const RUNNING: Named = ("persimmon_requests_running", "Requests that run at the target");
+const WAITING: Named = ("persimmon_requests_waiting", "Requests that wait for a slot");
+const PARTS: Named = ("persimmon_parts", "Parts of jobs held or run by the worker");
+const LEAVING: Named = ("persimmon_leaving", "1 while the process takes nothing new");
+
+/// All metrics, with their names and help.
+pub const CATALOGUE: &[Named] = &[
+    EVENTS_TOTAL,
+    LOG_DROPPED_TOTAL,
+    PANICS_TOTAL,
+    REQUEST_SECONDS,
+    RETRIES_TOTAL,
+    MEMBERS,
+    CONFIG_VERSION,
+    STORE_SECONDS,
+    ZONE_FREE,
+    ZONE_JOBS,
+    JOBS,
+    ATTEMPTS_TOTAL,
+    SLOTS,
+    RUNNING,
+    WAITING,
+    PARTS,
+    LEAVING,
+];
+
+/// Counts a log event.
+pub fn event(event: Event) {
+    EVENT_COUNTS[event as usize].fetch_add(1, Ordering::Relaxed);
+}
+
+/// Returns how often an event was logged by this process.
+#[must_use]
+pub fn events(event: Event) -> u64 {
+    EVENT_COUNTS[event as usize].load(Ordering::Relaxed)
+}
+
+/// Counts a log line that was dropped.
+pub fn log_dropped() {
+    LOG_DROPPED.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Counts a panic.
+pub fn panicked() {
+    PANICS.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Metrics of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    registry: Registry,
+    requests: HistogramVec,
+    /// Further tries of requests.
+    pub retries: IntCounter,
+    /// Members by role and judgement.
+    pub members: IntGaugeVec,
+    /// The version of the configuration in force.
+    pub version: IntGauge,
+    /// Jobs accepted and not ended.
+    pub jobs: IntGauge,
+    /// Free accelerators by zone.
+    pub free: IntGaugeVec,
+    /// Jobs by zone and state.
+    pub zone_jobs: IntGaugeVec,
+    /// Whether the process takes nothing new.
+    pub leaving: IntGauge,
+    store: HistogramVec,
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: histograms(&registry, REQUEST_SECONDS, &["outcome", "class"]),
+            retries: counter(&registry, RETRIES_TOTAL),
+            members: gauges(&registry, MEMBERS, &["role", "judgement"]),
+            version: gauge(&registry, CONFIG_VERSION),
+            jobs: gauge(&registry, JOBS),
+            free: gauges(&registry, ZONE_FREE, &["zone"]),
+            zone_jobs: gauges(&registry, ZONE_JOBS, &["zone", "state"]),
+            leaving: gauge(&registry, LEAVING),
+            store: histograms(&registry, STORE_SECONDS, &["call", "outcome"]),
+            registry,
+        }
+    }
+}
+
+impl Entry {
+    /// Counts a request of a caller.
+    pub fn request(&self, outcome: &str, class: Class, took: Duration) {
+        self.requests.with_label_values(&[outcome, word(class)]).observe(took.as_secs_f64());
+    }
+
+    /// Returns calls of the table service that are counted and timed.
+    #[must_use]
+    pub fn watch_store(&self, calls: Calls) -> Calls {
+        let Calls { write, read, scan } = calls;
+        let (writes, reads, scans) = (self.store.clone(), self.store.clone(), self.store.clone());
+        Calls {
+            write: Box::new(move |rows| timed(&writes, "write", || write(rows))),
+            read: Box::new(move |key| timed(&reads, "read", || read(key))),
+            scan: Box::new(move |prefix, after| timed(&scans, "scan", || scan(prefix, after))),
+        }
+    }
+
+    /// Writes the metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn render(&self) -> String {
+        render(&self.registry)
+    }
+}
+
+/// Metrics of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    registry: Registry,
+    requests: HistogramVec,
+    /// The version of the configuration in force.
+    pub version: IntGauge,
+    /// Slots of the target.
+    pub slots: IntGauge,
+    /// Requests that run at the target.
+    pub running: IntGauge,
+    /// Requests that wait for a slot.
+    pub waiting: IntGauge,
+    /// Parts of jobs held or run.
+    pub parts: IntGauge,
+    /// Whether the process takes nothing new.
+    pub leaving: IntGauge,
+}
+
+impl Default for Agent {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: histograms(&registry, REQUEST_SECONDS, &["outcome", "class"]),
+            version: gauge(&registry, CONFIG_VERSION),
+            slots: gauge(&registry, SLOTS),
+            running: gauge(&registry, RUNNING),
+            waiting: gauge(&registry, WAITING),
+            parts: gauge(&registry, PARTS),
+            leaving: gauge(&registry, LEAVING),
+            registry,
+        }
+    }
+}
+
+impl Agent {
+    /// Counts a request.
+    pub fn request(&self, outcome: &str, class: Class, took: Duration) {
+        self.requests.with_label_values(&[outcome, word(class)]).observe(took.as_secs_f64());
+    }
+
+    /// Writes the metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn render(&self) -> String {
+        render(&self.registry)
+    }
+}
+
+/// Returns a count as the value of a gauge.
+#[must_use]
+pub fn value(count: impl TryInto<i64>) -> i64 {
+    count.try_into().unwrap_or(i64::MAX)
+}
+
+fn word(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Interactive => "interactive",
+        Class::Batch => "batch",
+    }
+}
+
+fn timed<T: Stored>(
+    times: &HistogramVec,
+    call: &str,
+    run: impl FnOnce() -> Result<T, Error>,
+) -> Result<T, Error> {
+    let begin = Instant::now();
+    let result = run();
+    let outcome = match &result {
+        Ok(stored) => stored.word(),
+        Err(Error::Unreachable) => "unreachable",
+        Err(Error::NoAnswer) => "no-answer",
+        Err(_) => "failed",
+    };
+    times.with_label_values(&[call, outcome]).observe(begin.elapsed().as_secs_f64());
+    result
+}
+
+/// What a call of the table service returned, as a label.
+trait Stored {
+    fn word(&self) -> &'static str {
+        "ok"
+    }
+}
+
+impl Stored for Outcome {
+    fn word(&self) -> &'static str {
+        match self {
+            Self::Applied => "ok",
+            Self::Refused => "condition",
+        }
+    }
+}
+
+impl<T> Stored for Option<T> {}
+
+impl<T> Stored for Vec<T> {}
+
+fn render(registry: &Registry) -> String {
+    let common = Registry::new();
+    let events = counters(&common, EVENTS_TOTAL, &["event"]);
+    for &event in ALL {
+        let number = format!("E{}", event as u16);
+        events.with_label_values(&[number]).inc_by(self::events(event));
+    }
+    counter(&common, LOG_DROPPED_TOTAL).inc_by(LOG_DROPPED.load(Ordering::Relaxed));
+    counter(&common, PANICS_TOTAL).inc_by(PANICS.load(Ordering::Relaxed));
+    let mut families = common.gather();
+    families.extend(registry.gather());
+    TextEncoder::new().encode_to_string(&families).unwrap_or_default()
+}
+
+// The names are constants, each registered once for each registry, so that nothing here fails.
+
+fn counters(registry: &Registry, (name, help): Named, labels: &[&str]) -> IntCounterVec {
+    let made = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
+    registry.register(Box::new(made.clone())).expect("registered once");
+    made
+}
+
+fn counter(registry: &Registry, (name, help): Named) -> IntCounter {
+    let made = IntCounter::new(name, help).expect("a valid name");
+    registry.register(Box::new(made.clone())).expect("registered once");
+    made
+}
+
+fn gauges(registry: &Registry, (name, help): Named, labels: &[&str]) -> IntGaugeVec {
+    let made = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+    registry.register(Box::new(made.clone())).expect("registered once");
+    made
+}
+
+fn gauge(registry: &Registry, (name, help): Named) -> IntGauge {
+    let made = IntGauge::new(name, help).expect("a valid name");
+    registry.register(Box::new(made.clone())).expect("registered once");
+    made
+}
+
+fn histograms(registry: &Registry, (name, help): Named, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    let made = HistogramVec::new(options, labels).expect("a valid name");
+    registry.register(Box::new(made.clone())).expect("registered once");
+    made
+}
--- /dev/null
+++ b/persimmondrift/src/settings/check.rs
@@ -0,0 +1,135 @@
+//! Checks of single settings, made while they are read, so that an error has its line.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Deserializer, de};
+
+use super::Token;
+use super::measure::Size;
+use crate::member::Capacity;
+use crate::unit::{Accelerators, Connections, Cores, Operator, Slots};
+
+/// Longest secret, in bytes.
+const SECRET_BYTES: usize = 512;
+/// Shortest secret, in bytes.
+const SECRET_LEAST: usize = 8;
+
+/// Reports a value that is out of its bounds.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A number is out of range.
+    #[error("{found} is out of range; write {low} to {high}")]
+    Range {
+        /// The number.
+        found: u64,
+        /// The least that is right.
+        low: u64,
+        /// The most that is right.
+        high: u64,
+    },
+    /// An address of a peer has port 0.
+    #[error("`{0}` has port 0; write the port that the entry listens at")]
+    Port(SocketAddr),
+    /// A list that must name something is empty.
+    #[error("the list is empty; name at least one, like \"10.0.0.1:7100\"")]
+    Empty,
+    /// A URL has no scheme that is known.
+    #[error("`{0}` is not a base URL; write it like \"http://10.0.0.9:8000\"")]
+    Url(String),
+    /// A token has no secret, or two.
+    #[error("a token needs either `secret` or `secret_file`")]
+    Secret,
+    /// A secret is too short or too long.
+    #[error("a secret must have {SECRET_LEAST} to {SECRET_BYTES} characters")]
+    SecretLength,
+    /// The file of a secret cannot be read.
+    #[error("secret_file {0:?} cannot be read: {1}")]
+    SecretFile(PathBuf, std::io::Error),
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawCapacity {
+    #[serde(deserialize_with = "number::<1, 4096, _>")]
+    slots: u32,
+    #[serde(deserialize_with = "number::<1, 65_536, _>")]
+    connections: u32,
+    #[serde(deserialize_with = "number::<1, 64, _>")]
+    accelerators: u32,
+    #[serde(deserialize_with = "number::<1, 4096, _>")]
+    cores: u32,
+    memory: Size,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawToken {
+    operator: Operator,
+    secret: Option<String>,
+    secret_file: Option<PathBuf>,
+}
+
+impl TryFrom<RawToken> for Token {
+    type Error = Error;
+
+    fn try_from(raw: RawToken) -> Result<Self, Error> {
+        let secret = match (raw.secret, raw.secret_file) {
+            (Some(secret), None) => secret,
+            (None, Some(file)) => {
+                let text = fs::read_to_string(&file);
+                text.map_err(|error| Error::SecretFile(file, error))?.trim().to_owned()
+            }
+            _ => return Err(Error::Secret),
+        };
+        if !(SECRET_LEAST..=SECRET_BYTES).contains(&secret.len()) {
+            return Err(Error::SecretLength);
+        }
+        Ok(Self { operator: raw.operator, secret })
+    }
+}
+
+fn number<'de, const LOW: u32, const HIGH: u32, D: Deserializer<'de>>(
+    from: D,
+) -> Result<u32, D::Error> {
+    let found = u64::deserialize(from)?;
+    match u32::try_from(found) {
+        Ok(number) if (LOW..=HIGH).contains(&number) => Ok(number),
+        _ => Err(de::Error::custom(Error::Range { found, low: LOW.into(), high: HIGH.into() })),
+    }
+}
+
+/// Reads what a worker has to give.
+pub(super) fn capacity<'de, D: Deserializer<'de>>(from: D) -> Result<Capacity, D::Error> {
+    let raw = RawCapacity::deserialize(from)?;
+    Ok(Capacity {
+        slots: Slots(raw.slots),
+        connections: Connections(raw.connections),
+        accelerators: Accelerators(raw.accelerators),
+        cores: Cores(raw.cores),
+        memory: raw.memory.mebibytes(),
+    })
+}
+
+/// Reads the addresses of the entries.
+pub(super) fn peers<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<SocketAddr>, D::Error> {
+    let peers = Vec::<SocketAddr>::deserialize(from)?;
+    if peers.is_empty() {
+        return Err(de::Error::custom(Error::Empty));
+    }
+    match peers.iter().find(|peer| peer.port() == 0) {
+        Some(&peer) => Err(de::Error::custom(Error::Port(peer))),
+        None => Ok(peers),
+    }
+}
+
+/// Reads a base URL.
+pub(super) fn url<'de, D: Deserializer<'de>>(from: D) -> Result<String, D::Error> {
+    let text = String::deserialize(from)?;
+    let rest = text.strip_prefix("http://").or_else(|| text.strip_prefix("https://"));
+    match rest {
+        Some(host) if !host.is_empty() && !host.ends_with('/') => Ok(text),
+        _ => Err(de::Error::custom(Error::Url(text))),
+    }
+}
--- /dev/null
+++ b/persimmondrift/tests/settings_file.rs
@@ -0,0 +1,129 @@
+//! Settings: the examples are valid, and what is wrong is refused with file, key, line and cure.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+
+use persimmondrift::settings::measure::{Size, Span};
+use persimmondrift::settings::{self, Agent, Entry};
+use persimmondrift::unit::{Bytes, Mebibytes};
+
+const ENTRY: &str = include_str!("../../settings/loopback/entry-1.toml");
+const AGENT: &str = include_str!("../../settings/loopback/agent-1.toml");
+
+fn folder(name: &str) -> io::Result<Vec<PathBuf>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../settings").join(name);
+    fs::read_dir(root)?.map(|file| file.map(|file| file.path())).collect()
+}
+
+#[test]
+fn deployments_are_valid() {
+    // Deployment, entries, agents.
+    for (name, entries, agents) in [("loopback", 2, 2), ("soplo", 3, 11), ("kleenline", 3, 11)] {
+        let (mut read_entries, mut read_agents) = (Vec::new(), Vec::new());
+        for file in folder(name).expect("a folder") {
+            let stem = file.file_stem().and_then(|stem| stem.to_str()).unwrap_or_default();
+            if stem.starts_with("entry") {
+                read_entries.push(settings::read::<Entry>(&file).expect("valid"));
+            } else if stem.starts_with("agent") {
+                read_agents.push(settings::read::<Agent>(&file).expect("valid"));
+            }
+        }
+        assert_eq!((read_entries.len(), read_agents.len()), (entries, agents), "{name}");
+        for agent in &read_agents {
+            assert_eq!(agent.entries, read_entries[0].entries, "{}", agent.node);
+            assert_eq!(agent.capacity.memory, Mebibytes(128 << 10));
+            assert_eq!(agent.capacity.accelerators.0, 8);
+        }
+        for entry in &read_entries {
+            assert!(entry.entries.contains(&entry.listen), "{}", entry.node);
+        }
+    }
+}
+
+/// Name, text to find, text in its place, what the refusal must say.
+type Case = (&'static str, &'static str, &'static str, &'static [&'static str]);
+
+fn line_of(text: &str, wanted: &str) -> usize {
+    text.lines().position(|line| line.contains(wanted)).expect("a line") + 1
+}
+
+#[test]
+fn wrong_agents_are_refused() {
+    let cases: [Case; 9] = [
+        ("unknown key", "slots = 8", "slotz = 8", &["key slotz", "expected one of"]),
+        ("wrong unit", "\"128 GiB\"", "\"128 GB\"", &["key memory", "B, KiB, MiB, GiB", "128 GiB"]),
+        ("no unit", "\"200 ms\"", "\"200\"", &["key log_flush", "30 s"]),
+        ("too many", "accelerators = 8", "accelerators = 65", &["key accelerators", "1 to 64"]),
+        ("none", "accelerators = 8", "accelerators = 0", &["key accelerators", "1 to 64"]),
+        ("no port", "listen = \"127.0.0.1:7201\"", "listen = \"127.0.0.1\"", &["key listen"]),
+        ("no scheme", "target = \"http://", "target = \"", &["key target", "http://10.0.0.9:8000"]),
+        ("bad name", "node = \"taller-1\"", "node = \"Taller 1\"", &["key node", "a-z"]),
+        ("port 0", "127.0.0.1:7102\"]", "127.0.0.1:0\"]", &["key entries", "port 0"]),
+    ];
+    for (name, from, to, said) in cases {
+        let text = AGENT.replacen(from, to, 1);
+        assert_ne!(text, AGENT, "{name}");
+        let error = settings::parse::<Agent>("agent.toml", &text).expect_err(name).to_string();
+        let place = format!("agent.toml: line {},", line_of(&text, to));
+        assert!(error.starts_with(&place), "{name}: {error}");
+        for part in said {
+            assert!(error.contains(part), "{name}: {error}");
+        }
+    }
+}
+
+#[test]
+fn missing_addresses_are_refused() {
+    for key in ["listen", "callers", "operators", "entries", "table", "tokens"] {
+        let text: String = ENTRY
+            .lines()
+            .filter(|line| !line.starts_with(&format!("{key} =")))
+            .flat_map(|line| [line, "\n"])
+            .collect();
+        let error = settings::parse::<Entry>("entry.toml", &text).expect_err(key).to_string();
+        let wanted = [format!("key {key}"), format!("write it like {key} = ")];
+        assert!(error.starts_with("entry.toml: line "), "{error}");
+        assert!(wanted.iter().all(|part| error.contains(part)), "{error}");
+    }
+}
+
+#[test]
+fn secrets_come_from_files() {
+    let file = std::env::temp_dir().join(format!("persimmon-secret-{}", std::process::id()));
+    fs::write(&file, "long-enough-secret\n").expect("written");
+    let with = |token: &str| ENTRY.replacen("secret = \"loopback-only\"", token, 1);
+    let named = with(&format!("secret_file = {file:?}"));
+    let entry = settings::parse::<Entry>("entry.toml", &named).expect("valid");
+    assert_eq!(entry.tokens[0].secret, "long-enough-secret");
+    fs::remove_file(&file).expect("removed");
+    for (token, said) in [
+        (format!("secret_file = {file:?}"), "cannot be read"),
+        ("secret = \"short\"".to_owned(), "8 to 512"),
+        ("secret = \"long-enough\", secret_file = \"x\"".to_owned(), "either"),
+    ] {
+        let error = settings::parse::<Entry>("entry.toml", &with(&token)).expect_err(said);
+        assert!(error.to_string().contains(said), "{error}");
+    }
+}
+
+#[test]
+fn measures_come_back() {
+    for (text, span) in [
+        ("30 s", Duration::from_secs(30)),
+        ("250ms", Duration::from_millis(250)),
+        ("2 min", Duration::from_mins(2)),
+        ("1 h", Duration::from_hours(1)),
+    ] {
+        let read: Span = text.parse().expect("valid");
+        assert_eq!(read, Span(span));
+        assert_eq!(read.to_string().parse(), Ok(read));
+    }
+    assert_eq!("3 KiB".parse(), Ok(Size(Bytes(3_072))));
+    assert_eq!(Size(Bytes(3_072)).to_string(), "3 KiB");
+    for text in ["", "s", "-1 s", "1.5 s", "30 GB", "99999999999999999999 s", "9999999999999999 h"]
+    {
+        assert!(text.parse::<Span>().is_err(), "{text}");
+        assert!(text.parse::<Size>().is_err(), "{text}");
+    }
+}
