--- a/persimmondrift/src/adapter.rs
+++ b/persimmondrift/src/adapter.rs
@@ -9,19 +9,27 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
-use std::sync::mpsc;
-use std::thread::JoinHandle;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 use rouille::{Request, Response, Server};
 
 use crate::admit::BODY_LIMIT;
 
+/// Time without a new request after which a server that stops is taken to be idle.
+const IDLE: Duration = Duration::from_millis(50);
+/// Time after which a server that is still sent new requests stops all the same.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
 /// An HTTP server that runs until it is stopped.
 pub struct Http {
     /// The address it listens at.
     pub address: SocketAddr,
     thread: JoinHandle<()>,
-    stop: mpsc::Sender<()>,
+    stop: Arc<AtomicBool>,
+    join: Box<dyn Fn() + Send + Sync>,
 }
 
 /// Reports a body that cannot be taken.
@@ -46,20 +54,44 @@
         threads: usize,
         handle: impl Fn(&Request) -> Response + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let refuses = Arc::clone(&stop);
+        let handle = move |request: &Request| {
+            if refuses.load(Ordering::Relaxed) { stopping() } else { handle(request) }
+        };
         let server = Server::new(listen, handle).map_err(std::io::Error::other)?;
-        let server = server.pool_size(threads);
+        let server = Arc::new(server.pool_size(threads));
         let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
-        Ok(Self { address, thread, stop })
+        let (polled, stopped) = (Arc::clone(&server), Arc::clone(&stop));
+        let thread = thread::spawn(move || {
+            while !stopped.load(Ordering::Relaxed) {
+                polled.poll_timeout(IDLE);
+            }
+            // What has arrived until now gets its answer.
+            polled.poll_timeout(IDLE);
+        });
+        let join = Box::new(move || server.join());
+        Ok(Self { address, thread, stop, join })
     }
 
-    /// Stops accepting, and waits until what is in flight has ended.
+    /// Refuses new requests, and waits until those in flight have been answered.
     pub fn stop(self) {
-        let _ = self.stop.send(());
-        let _ = self.thread.join();
+        self.stop.store(true, Ordering::Relaxed);
+        let begin = Instant::now();
+        while !self.thread.is_finished() && begin.elapsed() < STOP_LIMIT {
+            thread::sleep(IDLE / 5);
+        }
+        (self.join)();
     }
 }
 
+fn stopping() -> Response {
+    Response::text("stopping")
+        .with_status_code(503)
+        .with_additional_header("Retry-After", "1")
+        .with_additional_header(caller::OUTCOME_HEADER, "refused")
+}
+
 /// Reads the whole body of a request, up to the bound.
 ///
 /// # Errors
--- a/persimmondrift/src/adapter/caller.rs
+++ b/persimmondrift/src/adapter/caller.rs
@@ -3,10 +3,10 @@
 use rouille::{Request, Response};
 
 use super::{BodyError, read_body};
-use crate::admit::{Cause, Outcome};
+use crate::admit::{Answer, Cause, Outcome};
 use crate::place::Class;
-use crate::route;
 use crate::unit::{Millis, Service};
+use crate::{retry, route};
 
 /// Header with the key that makes a repeated request the same one.
 pub const KEY_HEADER: &str = "Idempotency-Key";
@@ -72,6 +72,9 @@
     /// No target can be chosen.
     #[error("{0}")]
     Route(#[from] route::Error),
+    /// Too many requests of its class are in flight at this entry.
+    #[error("too many requests of this class are in flight at this entry")]
+    Full,
     /// The entry is stopping.
     #[error("this entry is stopping")]
     Stopping,
@@ -149,48 +152,56 @@
     }
 }
 
-/// Writes the response of a request.
+/// Writes the response of a request of a class.
 #[must_use]
-pub fn write(conclusion: Conclusion) -> Response {
+pub fn write(conclusion: Conclusion, class: Class) -> Response {
     match conclusion {
-        Conclusion::Outcome(Outcome::Answered(answer)) => {
-            let mut response = Response::from_data("application/octet-stream", answer.body);
-            response.status_code = answer.status;
-            response.headers.clear();
-            for (name, value) in answer.headers {
-                response = response.with_additional_header(name, value);
-            }
-            response.with_additional_header(OUTCOME_HEADER, "answered")
+        Conclusion::Outcome(Outcome::Answered(answer)) => write_answer(answer),
+        Conclusion::Outcome(Outcome::NotRun(Cause::Size)) => {
+            told(413, "not-run", "not run: the call is over the limit of a frame".to_owned())
         }
         Conclusion::Outcome(Outcome::NotRun(cause)) => {
             let response = told(503, "not-run", format!("not run: {cause:?}"));
             match cause {
-                Cause::QueueFull | Cause::Leaving | Cause::Unreachable => {
-                    response.with_additional_header("Retry-After", "1")
-                }
                 Cause::Expired | Cause::Cancelled => response,
+                _ => with_pause(response, class),
             }
         }
         Conclusion::Outcome(Outcome::Unknown(doubt)) => {
             told(504, "unknown", format!("it is not known whether the request ran: {doubt:?}"))
         }
         Conclusion::Refused(refusal) => {
-            let status = match refusal {
-                Refusal::Body(BodyError::Size) => 413,
-                Refusal::Service | Refusal::Route(route::Error::NoTarget) => 404,
-                Refusal::Route(route::Error::NoneOpen) | Refusal::Stopping => 503,
-                _ => 400,
-            };
+            let status = status_of(&refusal);
             let response = told(status, "refused", refusal.to_string());
-            if status == 503 {
-                response.with_additional_header("Retry-After", "1")
-            } else {
-                response
-            }
+            if status == 503 { with_pause(response, class) } else { response }
         }
     }
 }
 
+fn write_answer(answer: Answer) -> Response {
+    let mut response = Response::from_data("application/octet-stream", answer.body);
+    response.status_code = answer.status;
+    response.headers.clear();
+    for (name, value) in answer.headers {
+        response = response.with_additional_header(name, value);
+    }
+    response.with_additional_header(OUTCOME_HEADER, "answered")
+}
+
+fn status_of(refusal: &Refusal) -> u16 {
+    match refusal {
+        Refusal::Body(BodyError::Size) => 413,
+        Refusal::Service | Refusal::Route(route::Error::NoTarget) => 404,
+        Refusal::Route(route::Error::NoneOpen) | Refusal::Full | Refusal::Stopping => 503,
+        Refusal::Class | Refusal::Timeout | Refusal::Key | Refusal::Body(BodyError::Cut) => 400,
+    }
+}
+
+fn with_pause(response: Response, class: Class) -> Response {
+    let seconds = retry::pause(class).0.div_ceil(1_000);
+    response.with_additional_header("Retry-After", seconds.to_string())
+}
+
 fn told(status: u16, outcome: &'static str, text: String) -> Response {
     Response::text(text).with_status_code(status).with_additional_header(OUTCOME_HEADER, outcome)
 }
--- /dev/null
+++ b/persimmondrift/src/admit/gate.rs
@@ -0,0 +1,232 @@
+//! The admission of one target: its limits, its queue and what ran there.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::memory::{AHEAD, Fate, Memory};
+use super::queue::{CLASSES, Queue};
+use super::{Cause, Doubt, Effect, Ending, Limit, Offer, Outcome};
+use crate::place::Class;
+use crate::unit::{Millis, Request, Time};
+
+/// Time for which the connection of an abandoned request counts as in use: the target may
+/// still work on it.
+pub const LINGER: Duration = Duration::from_secs(5);
+/// Slots from which on one is kept free of batch work.
+const RESERVE_FROM: u32 = 4;
+/// Weight of one more measurement in a mean, as a divisor.
+const MEAN_WEIGHT: u64 = 16;
+
+/// The admission of one target.
+#[derive(Debug)]
+pub struct Gate {
+    limit: Limit,
+    running: u32,
+    batch: u32,
+    /// When the connections of abandoned requests count as free again.
+    abandoned: VecDeque<Time>,
+    leaving: bool,
+    queue: Queue,
+    memory: Memory,
+    /// Mean service time of each class, in microseconds; 0 until one was measured.
+    service: [u64; 3],
+}
+
+impl Gate {
+    /// Creates the admission of a target with these limits.
+    #[must_use]
+    pub fn new(limit: Limit) -> Self {
+        Self {
+            limit,
+            running: 0,
+            batch: 0,
+            abandoned: VecDeque::new(),
+            leaving: false,
+            queue: Queue::default(),
+            memory: Memory::default(),
+            service: [0; 3],
+        }
+    }
+
+    /// Sets whether new requests are refused. Those that wait are refused by the next tick.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Takes in a request.
+    pub fn offer(&mut self, now: Time, offer: Offer) -> Effect {
+        let request = offer.request;
+        match self.memory.get(request) {
+            Some(Fate::Refused) => {
+                return Effect::Reply(request, Outcome::NotRun(Cause::Cancelled));
+            }
+            Some(_) => return Effect::Reply(request, Outcome::Unknown(Doubt::Repeated)),
+            None => {}
+        }
+        if !self.memory.proves(now, offer.admit_by) {
+            return Effect::Reply(request, Outcome::Unknown(Doubt::Late));
+        }
+        if offer.admit_by <= now || offer.admit_by > now + AHEAD {
+            return self.refuse(now, request, offer.admit_by, Cause::Expired);
+        }
+        if self.leaving {
+            return self.refuse(now, request, offer.admit_by, Cause::Leaving);
+        }
+        self.free_abandoned(now);
+        if self.queue.is_empty() && self.has_room(offer.class) {
+            self.start(now, request, offer.class);
+            return Effect::Run(request);
+        }
+        if self.expected(offer.class) > Duration::from(offer.budget) {
+            return self.refuse(now, request, offer.admit_by, Cause::Overloaded);
+        }
+        let deadline = now + offer.budget;
+        if !self.queue.push(offer.class, deadline, request) {
+            return self.refuse(now, request, offer.admit_by, Cause::QueueFull);
+        }
+        self.memory.put(request, Fate::Waiting(offer.class, deadline));
+        // Batch work may wait while a slot is kept free of it.
+        if offer.class != Class::Batch && self.has_room(offer.class) {
+            self.queue.remove(offer.class, deadline, request);
+            self.start(now, request, offer.class);
+            return Effect::Run(request);
+        }
+        Effect::Wait(request)
+    }
+
+    /// Takes in that a running request has ended, and admits the next ones.
+    pub fn finish(&mut self, now: Time, request: Request, ending: Ending) -> Vec<Effect> {
+        if let Some(Fate::Running(class, began)) = self.memory.get(request) {
+            self.running -= 1;
+            self.batch -= u32::from(class == Class::Batch);
+            self.memory.end(now, request, Fate::Ended, now + AHEAD);
+            match ending {
+                Ending::Whole => self.measure(class, now.since(began)),
+                Ending::Abandoned => self.abandoned.push_back(now + LINGER),
+            }
+        }
+        self.admit(now)
+    }
+
+    /// Cancels a request. Returns whether it is proved that it has not run and will not, and
+    /// the reply to the one that waits for it.
+    pub fn cancel(&mut self, now: Time, request: Request, admit_by: Time) -> (bool, Vec<Effect>) {
+        match self.memory.get(request) {
+            None if self.memory.proves(now, admit_by) => {
+                self.memory.end(now, request, Fate::Refused, admit_by);
+                (true, Vec::new())
+            }
+            Some(Fate::Waiting(class, deadline)) => {
+                self.queue.remove(class, deadline, request);
+                (true, vec![self.refuse(now, request, now + AHEAD, Cause::Cancelled)])
+            }
+            Some(Fate::Refused) => (true, Vec::new()),
+            None | Some(Fate::Running(..) | Fate::Ended) => (false, Vec::new()),
+        }
+    }
+
+    /// Ends what has waited too long, and what waits at a target that is leaving.
+    pub fn tick(&mut self, now: Time) -> Vec<Effect> {
+        self.memory.forget(now);
+        let mut effects = self.admit(now);
+        while self.leaving
+            && let Some((_, request)) = self.queue.pop(|_| true)
+        {
+            effects.push(self.refuse(now, request, now + AHEAD, Cause::Leaving));
+        }
+        effects
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of requests that are remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.memory.len()
+    }
+
+    /// Returns the time until a new request of a class would start, if it had to wait.
+    #[must_use]
+    pub fn wait(&self, class: Class) -> Millis {
+        if self.queue.is_empty() && self.has_room(class) {
+            return Millis(0);
+        }
+        Millis(u64::try_from(self.expected_start(class).as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn has_room(&self, class: Class) -> bool {
+        let abandoned = u32::try_from(self.abandoned.len()).unwrap_or(u32::MAX);
+        let connected = self.running.saturating_add(abandoned);
+        let reserve = u32::from(self.limit.slots.0 >= RESERVE_FROM);
+        self.running < self.limit.slots.0
+            && connected < self.limit.connections.0
+            && (class != Class::Batch || self.batch + reserve < self.limit.slots.0)
+    }
+
+    /// Returns the time until a new request of a class that waits would start.
+    fn expected_start(&self, class: Class) -> Duration {
+        let ahead = self.queue.ahead_of(class);
+        let mut work = self.service[class as usize];
+        for class in CLASSES {
+            let count = u64::try_from(ahead[class as usize]).unwrap_or(u64::MAX);
+            work = work.saturating_add(count.saturating_mul(self.service[class as usize]));
+        }
+        Duration::from_micros(work / u64::from(self.limit.slots.0.max(1)))
+    }
+
+    /// Returns the time until a new request of a class that waits would have ended.
+    fn expected(&self, class: Class) -> Duration {
+        self.expected_start(class) + Duration::from_micros(self.service[class as usize])
+    }
+
+    fn measure(&mut self, class: Class, took: Duration) {
+        let took = u64::try_from(took.as_micros()).unwrap_or(u64::MAX).max(1);
+        let mean = &mut self.service[class as usize];
+        *mean = if *mean == 0 { took } else { *mean - *mean / MEAN_WEIGHT + took / MEAN_WEIGHT };
+    }
+
+    fn start(&mut self, now: Time, request: Request, class: Class) {
+        self.running += 1;
+        self.batch += u32::from(class == Class::Batch);
+        self.memory.put(request, Fate::Running(class, now));
+    }
+
+    fn free_abandoned(&mut self, now: Time) {
+        while self.abandoned.front().is_some_and(|until| *until <= now) {
+            self.abandoned.pop_front();
+        }
+    }
+
+    fn admit(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some(request) = self.queue.pop_expired(now) {
+            effects.push(self.refuse(now, request, now + AHEAD, Cause::Expired));
+        }
+        if self.leaving {
+            return effects;
+        }
+        self.free_abandoned(now);
+        let mut open = CLASSES.map(|class| self.has_room(class));
+        while let Some((class, request)) = self.queue.pop(|class| open[class as usize]) {
+            self.start(now, request, class);
+            effects.push(Effect::Run(request));
+            open = CLASSES.map(|class| self.has_room(class));
+        }
+        effects
+    }
+
+    fn refuse(&mut self, now: Time, request: Request, admit_by: Time, cause: Cause) -> Effect {
+        self.memory.end(now, request, Fate::Refused, admit_by);
+        Effect::Reply(request, Outcome::NotRun(cause))
+    }
+}
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -4,7 +4,7 @@
 mod request;
 mod work;
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread::{self, JoinHandle};
@@ -23,7 +23,9 @@
 /// Pause between two looks at the parts of the worker.
 const LIST_EVERY: Duration = Duration::from_millis(200);
 /// Connections of entries served at once.
-const CONNECTIONS: usize = 256;
+const CONNECTIONS: usize = 512;
+/// Connections beyond those, which are told that there are too many.
+const SPARE_CONNECTIONS: usize = 128;
 
 /// Everything that the threads of an agent share.
 struct Shared {
@@ -35,7 +37,7 @@
     work: mpsc::Sender<work::Order>,
     waiters: request::Waiters,
     origin: Instant,
-    connections: std::sync::atomic::AtomicUsize,
+    connections: Mutex<slab::Slab<TcpStream>>,
     stop: AtomicBool,
 }
 
@@ -64,7 +66,7 @@
         link,
         settings,
         origin: Instant::now(),
-        connections: std::sync::atomic::AtomicUsize::new(0),
+        connections: Mutex::default(),
         stop: AtomicBool::new(false),
     });
     crate::log!(Started, "agent {} at {}", shared.settings.node, shared.link.address());
@@ -105,7 +107,12 @@
 
     /// Ends the process's threads. What still runs at the target is not waited for.
     pub fn stop(self) {
+        self.shared.core().gate.set_leaving(true);
+        request::tick(&self.shared);
         self.shared.stop.store(true, Ordering::Relaxed);
+        for (_, stream) in self.shared.connections().iter() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         // The accept call waits for a connection: this one wakes it.
         drop(crate::adapter::link::connect(self.address(), TICK));
         for thread in self.threads {
@@ -159,24 +166,38 @@
             let Ok((stream, from)) = self.link.accept() else {
                 continue;
             };
-            if self.connections.load(Ordering::Relaxed) >= CONNECTIONS {
-                crate::warn!(FrameRefused, "from {from}: over {CONNECTIONS} connections");
+            let Some((key, spare)) = self.hold(&stream) else {
+                crate::warn!(FrameRefused, "from {from}: too many connections");
                 continue;
-            }
-            self.connections.fetch_add(1, Ordering::Relaxed);
+            };
             let shared = Arc::clone(self);
             thread::spawn(move || {
-                request::serve(&shared, &stream, from);
-                shared.connections.fetch_sub(1, Ordering::Relaxed);
+                request::serve(&shared, &stream, from, spare);
+                shared.connections().remove(key);
             });
         }
     }
 
+    /// Counts a connection, so that it can be closed, and tells whether it is a spare one.
+    /// Returns nothing if there are too many.
+    fn hold(&self, stream: &TcpStream) -> Option<(usize, bool)> {
+        let copy = stream.try_clone().ok()?;
+        let mut connections = self.connections();
+        let held = connections.len();
+        let open = held < CONNECTIONS + SPARE_CONNECTIONS;
+        open.then(|| (connections.insert(copy), held >= CONNECTIONS))
+    }
+
+    fn connections(&self) -> MutexGuard<'_, slab::Slab<TcpStream>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn tick(self: &Arc<Self>) {
         while !self.stops() {
             let now = self.now();
             let effects = self.core().tick(now);
             self.perform(effects);
+            request::tick(self);
             thread::sleep(TICK);
         }
     }
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -5,12 +5,13 @@
 
 use super::work::Order;
 use crate::adapter::worker::{self, Listed};
-use crate::admit::Gate;
+use crate::admit::{Gate, Limit};
 use crate::config::Config;
 use crate::gang::{Action, Holder, Phase, Task};
 use crate::member::{ANNOUNCE_EVERY, Announce, Load, Presence, State, View};
+use crate::place::Class;
 use crate::settings;
-use crate::unit::{Node, Time, Version};
+use crate::unit::{Millis, Node, Time, Version};
 use crate::wire::{Body, Frame};
 
 /// What the agent's process does.
@@ -46,6 +47,7 @@
     leaving: bool,
     planners: BTreeMap<Node, SocketAddr>,
     pub(super) gate: Gate,
+    reports: u64,
     holder: Holder,
 }
 
@@ -71,7 +73,11 @@
             fetching: false,
             leaving: false,
             planners: BTreeMap::new(),
-            gate: Gate::new(settings.capacity.slots),
+            gate: Gate::new(Limit {
+                slots: settings.capacity.slots,
+                connections: settings.capacity.connections,
+            }),
+            reports: 0,
             holder: Holder::default(),
         }
     }
@@ -89,6 +95,18 @@
         requests + self.gate.waiting() + self.holder.holdings().len()
     }
 
+    /// Returns how busy the target is, as a new report.
+    pub fn load(&mut self, now: Time) -> Load {
+        self.reports += 1;
+        Load {
+            running: self.gate.running(),
+            waiting: u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX),
+            wait: self.gate.wait(Class::Interactive),
+            number: self.reports,
+            uptime: Millis(now.0 / 1_000),
+        }
+    }
+
     /// Returns whether any part is held or runs.
     pub fn runs_parts(&self) -> bool {
         !self.holder.holdings().is_empty()
@@ -180,10 +198,7 @@
         self.announced = Some(now);
         self.announce.version = self.config.version;
         self.announce.tasks = self.holder.holdings();
-        self.announce.load = Load {
-            running: self.gate.running(),
-            waiting: u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX),
-        };
+        self.announce.load = self.load(now);
         let mut addresses = self.seeds.clone();
         for (_, member) in self.entries.alive() {
             if !addresses.contains(&member.address) {
--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -10,14 +10,14 @@
 use super::core::Fetched;
 use crate::adapter::link::{self, Link};
 use crate::adapter::target;
-use crate::admit::{Call, Cause, Effect, Outcome};
-use crate::unit::{Request, Version};
+use crate::admit::{Call, Cause, Doubt, Effect, Ending, Offer, Outcome, Ticket};
+use crate::unit::{Request, Time, Version};
 use crate::wire::{self, Body};
 
 /// Time given to connect and to read records.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause after which a waiting request looks whether its deadline has passed.
-const WAIT_POLL: Duration = Duration::from_millis(20);
+/// Time after which a spare connection on which nothing arrives is closed.
+const SPARE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Wakes the threads of requests that wait for a slot.
 #[derive(Debug, Default)]
@@ -43,8 +43,11 @@
     }
 }
 
-/// Serves a connection until it ends.
-pub fn serve(shared: &Arc<Shared>, stream: &TcpStream, from: SocketAddr) {
+/// Serves a connection until it ends. On a spare one no request is admitted.
+pub fn serve(shared: &Arc<Shared>, stream: &TcpStream, from: SocketAddr, spare: bool) {
+    if spare {
+        let _ = stream.set_read_timeout(Some(SPARE_TIMEOUT));
+    }
     while !shared.stops() {
         let frame = match wire::read(stream) {
             Ok(frame) => frame,
@@ -54,15 +57,18 @@
                 return;
             }
         };
+        if shared.stops() {
+            return;
+        }
         let body = match frame.body {
             Body::Call(call) => {
-                let request = call.request;
-                Body::Outcome(request, run(shared, call))
-            }
-            Body::Cancel(request) => {
-                let proved = shared.core().gate.cancel(request);
-                Body::Cancelled(request, proved)
+                let request = call.ticket.request;
+                let outcome = if spare { refuse(shared, &call) } else { admit(shared, call) };
+                let now = shared.now();
+                let load = shared.core().load(now);
+                Body::Outcome(request, outcome, load)
             }
+            Body::Cancel(ticket) => Body::Cancelled(ticket.request, cancel(shared, ticket)),
             _ => return,
         };
         if wire::write(stream, &shared.link.frame(body)).is_err() {
@@ -71,39 +77,80 @@
     }
 }
 
-fn run(shared: &Shared, call: Call) -> Outcome {
+/// Admits what may run, and ends what has waited too long.
+pub fn tick(shared: &Shared) {
+    let now = shared.now();
+    let effects = shared.core().gate.tick(now);
+    shared.waiters.wake(effects);
+}
+
+fn cancel(shared: &Shared, ticket: Ticket) -> bool {
+    // What an earlier start of this agent did is not known here.
+    if ticket.boot != shared.link.boot() {
+        return false;
+    }
+    let now = shared.now();
+    let admit_by = Time::from_millis(ticket.admit_by.0);
+    let (proved, effects) = shared.core().gate.cancel(now, ticket.request, admit_by);
+    shared.waiters.wake(effects);
+    proved
+}
+
+fn refuse(shared: &Shared, call: &Call) -> Outcome {
+    if cancel(shared, call.ticket) {
+        Outcome::NotRun(Cause::Overloaded)
+    } else {
+        Outcome::Unknown(Doubt::Repeated)
+    }
+}
+
+fn admit(shared: &Shared, call: Call) -> Outcome {
+    // The call came on a connection to this start alone, and it does not run here.
+    if call.ticket.boot != shared.link.boot() {
+        return Outcome::NotRun(Cause::Replaced);
+    }
     let begin = shared.now();
-    let deadline = begin + call.budget;
-    let request = call.request;
+    let request = call.ticket.request;
+    let offer = Offer {
+        request,
+        class: call.class,
+        budget: call.budget,
+        admit_by: Time::from_millis(call.ticket.admit_by.0),
+    };
     let (sender, woken) = mpsc::channel();
     let mut effect = {
         let mut core = shared.core();
-        let effect = core.gate.offer(begin, request, call.class, call.budget);
+        let effect = core.gate.offer(begin, offer);
         if matches!(effect, Effect::Wait(_)) {
             shared.waiters.put(request, sender);
         }
         effect
     };
-    loop {
-        match effect {
-            Effect::Run(_) => break,
-            Effect::Reply(_, outcome) => return outcome,
-            Effect::Wait(_) => match woken.recv_timeout(WAIT_POLL) {
-                Ok(next) => effect = next,
-                Err(mpsc::RecvTimeoutError::Timeout) => {
-                    let now = shared.now();
-                    let effects = shared.core().gate.tick(now);
-                    shared.waiters.wake(effects);
-                }
-                Err(mpsc::RecvTimeoutError::Disconnected) => {
-                    return Outcome::NotRun(Cause::Expired);
-                }
-            },
-        }
+    if let Effect::Wait(_) = effect {
+        // A sender that is gone has been replaced by a copy, which cannot be.
+        let Ok(next) = woken.recv() else {
+            return Outcome::Unknown(Doubt::Broken);
+        };
+        effect = next;
+    }
+    match effect {
+        Effect::Run(_) => run(shared, call, begin),
+        Effect::Reply(_, outcome) => outcome,
+        Effect::Wait(_) => Outcome::Unknown(Doubt::Broken),
     }
+}
+
+fn run(shared: &Shared, call: Call, begin: Time) -> Outcome {
+    let request = call.ticket.request;
+    let deadline = begin + call.budget;
     let left = deadline.since(shared.now()).max(Duration::from_millis(1));
     let outcome = target::run(&shared.target, &shared.settings.target, call, left);
-    let effects = shared.core().gate.finish(shared.now(), request);
+    let ending = match outcome {
+        Outcome::Unknown(Doubt::Timeout) => Ending::Abandoned,
+        _ => Ending::Whole,
+    };
+    let now = shared.now();
+    let effects = shared.core().gate.finish(now, request, ending);
     shared.waiters.wake(effects);
     outcome
 }
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -5,6 +5,7 @@
 mod pool;
 mod request;
 mod role;
+mod router;
 mod table;
 
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 
 use crate::adapter::link::{self, Arrival, Link};
 use crate::adapter::{self, Http, caller, operator};
+use crate::place::Class;
 use crate::settings;
 use crate::store::Calls;
 use crate::unit::{Boot, Time};
@@ -40,6 +42,7 @@
     core: Mutex<Core>,
     random: Mutex<fastrand::Rng>,
     pool: pool::Pool,
+    router: router::Router,
     table: Calls,
     work: mpsc::Sender<table::Order>,
     origin: Instant,
@@ -68,6 +71,7 @@
         core: Mutex::new(Core::new(&settings, link.address())),
         random: Mutex::new(fastrand::Rng::new()),
         pool: pool::Pool::default(),
+        router: router::Router::new(settings.place.clone(), CALLER_THREADS),
         table: adapter::table::calls(&settings.table),
         work,
         link,
@@ -103,14 +107,16 @@
             let leaving = shared.leaving.load(Ordering::Relaxed);
             return Response::text("").with_status_code(if leaving { 503 } else { 200 });
         }
-        let conclusion = match caller::read(request) {
-            Ok(ask) => request::conclude(&shared, ask),
+        match caller::read(request) {
+            Ok(ask) => {
+                let class = ask.class;
+                caller::write(request::conclude(&shared, ask), class)
+            }
             Err(refusal) => {
                 crate::warn!(RequestRefused, "{refusal}");
-                caller::Conclusion::Refused(refusal)
+                caller::write(caller::Conclusion::Refused(refusal), Class::Interactive)
             }
-        };
-        caller::write(conclusion)
+        }
     })
 }
 
@@ -145,6 +151,12 @@
         self.callers.address
     }
 
+    /// Returns the number of callers' requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.router.in_flight()
+    }
+
     /// Returns the address for operators.
     #[must_use]
     pub fn operators(&self) -> SocketAddr {
@@ -236,6 +248,7 @@
             let now = self.now();
             let effects = self.core().tick(now);
             self.perform(effects);
+            self.router.tick(now);
             thread::sleep(TICK);
         }
     }
@@ -251,6 +264,11 @@
                 Effect::Table(order) => {
                     let _ = self.work.send(order);
                 }
+                Effect::Learn(facts) => self.router.learn(self.now(), *facts),
+                Effect::Forget(node, address) => {
+                    self.router.forget(&node);
+                    self.pool.drop_idle(address);
+                }
             }
         }
     }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -8,8 +8,9 @@
 use crate::config::{Change, Config, Record};
 use crate::gang::Report;
 use crate::intent::{Draft, Supply};
-use crate::member::{self, ANNOUNCE_EVERY, Announce, Place, Presence, State, View};
+use crate::member::{self, ANNOUNCE_EVERY, Announce, Judgement, Place, Presence, State, View};
 use crate::place::Outcome;
+use crate::route::Facts;
 use crate::settings;
 use crate::unit::{Epoch, Job, Node, Plan, Time, Version, Zone};
 use crate::wire::{Body, Frame};
@@ -31,6 +32,10 @@
     Send(SocketAddr, Body),
     /// Calls the table service.
     Table(Order),
+    /// Tells the router what is known of a target.
+    Learn(Box<Facts>),
+    /// Tells the router that a target is gone.
+    Forget(Node, SocketAddr),
 }
 
 /// The state of an entry.
@@ -112,6 +117,7 @@
     /// Takes in accepted records, in order.
     pub fn accept(&mut self, now: Time, records: Vec<Record>) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let mut learned = Vec::new();
         for record in records {
             match self.config.apply(&record) {
                 Ok(true) => {}
@@ -123,6 +129,9 @@
             }
             crate::log!(InForce, "version {} at {}", self.config.version, self.node);
             for change in &record.changes {
+                if let Change::Drain { node } | Change::Undrain { node } = change {
+                    learned.extend(self.learn(node));
+                }
                 if let Change::End { job, outcome } = change {
                     self.ended.push_back((*job, *outcome));
                     self.ended.truncate(ENDED);
@@ -136,7 +145,8 @@
                 self.records.pop_front();
             }
         }
-        self.carry_out(effects)
+        learned.extend(self.carry_out(effects));
+        learned
     }
 
     /// Takes in that this entry holds the planner role of a zone.
@@ -214,7 +224,9 @@
     fn agents_changed(&mut self, now: Time, changes: Vec<member::Effect>) -> Vec<Effect> {
         log_changes(&changes);
         let mut asked = Vec::new();
+        let mut effects = Vec::new();
         for change in changes {
+            effects.extend(self.route_change(&change));
             match change {
                 member::Effect::Joined(node) | member::Effect::Updated(node) => {
                     if let Some(member) = self.agents.get(&node)
@@ -231,7 +243,41 @@
                 member::Effect::Suspected(_) | member::Effect::Recovered(_) => {}
             }
         }
-        self.carry_out(asked)
+        effects.extend(self.carry_out(asked));
+        effects
+    }
+
+    /// Returns what a change of the members means to the router.
+    fn route_change(&self, change: &member::Effect) -> Option<Effect> {
+        match change {
+            member::Effect::Lost(node) => {
+                let member = self.agents.get(node)?;
+                Some(Effect::Forget(node.clone(), member.said.address))
+            }
+            member::Effect::Joined(node)
+            | member::Effect::Updated(node)
+            | member::Effect::Suspected(node)
+            | member::Effect::Recovered(node) => self.learn(node),
+        }
+    }
+
+    /// Returns what the router has to know of a target.
+    fn learn(&self, node: &Node) -> Option<Effect> {
+        let member = self.agents.get(node)?;
+        let said = &member.said;
+        let open = member.judgement == Judgement::Alive
+            && said.state == State::Serving
+            && !self.config.drained.contains(node);
+        Some(Effect::Learn(Box::new(Facts {
+            node: node.clone(),
+            boot: member.boot,
+            address: said.address,
+            place: said.place.clone(),
+            service: said.service.clone(),
+            slots: said.capacity.slots,
+            load: said.load,
+            open,
+        })))
     }
 
     fn announce(&mut self, now: Time) -> Vec<Effect> {
--- a/persimmondrift/src/entry/pool.rs
+++ b/persimmondrift/src/entry/pool.rs
@@ -2,27 +2,48 @@
 //! that comes too late dies with its connection and cannot reach another caller.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crate::adapter::link;
+use crate::unit::Boot;
 
 /// Time given to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections kept for one agent.
-const IDLE: usize = 64;
+const IDLE: usize = 32;
+
+/// A connection to one start of an agent.
+#[derive(Debug)]
+pub struct Connection {
+    /// The start of the agent that was expected when it was opened.
+    pub boot: Boot,
+    /// The socket.
+    pub stream: TcpStream,
+}
 
 /// Idle connections by agent.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
-    /// Takes an idle connection to an agent, if there is one.
-    pub fn take(&self, to: SocketAddr) -> Option<TcpStream> {
-        self.idle().get_mut(&to)?.pop()
+    /// Takes an idle connection to a start of an agent, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket. Nothing was sent then.
+    pub fn take(&self, to: SocketAddr, boot: Boot) -> io::Result<Connection> {
+        while let Some(connection) = self.pop(to) {
+            if connection.boot == boot && is_quiet(&connection.stream) {
+                return Ok(connection);
+            }
+        }
+        let stream = Self::open(to)?;
+        Ok(Connection { boot, stream })
     }
 
     /// Opens a new connection to an agent.
@@ -30,20 +51,39 @@
     /// # Errors
     ///
     /// Returns the error of the socket.
-    pub fn open(to: SocketAddr) -> std::io::Result<TcpStream> {
+    pub fn open(to: SocketAddr) -> io::Result<TcpStream> {
         link::connect(to, CONNECT_TIMEOUT)
     }
 
     /// Gives back a connection on which no answer is owed.
-    pub fn give(&self, to: SocketAddr, stream: TcpStream) {
+    pub fn give(&self, to: SocketAddr, connection: Connection) {
         let mut idle = self.idle();
-        let streams = idle.entry(to).or_default();
-        if streams.len() < IDLE {
-            streams.push(stream);
+        let connections = idle.entry(to).or_default();
+        if connections.len() < IDLE {
+            connections.push(connection);
         }
     }
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<TcpStream>>> {
+    /// Closes the idle connections to an agent that is gone.
+    pub fn drop_idle(&self, to: SocketAddr) {
+        self.idle().remove(&to);
+    }
+
+    fn pop(&self, to: SocketAddr) -> Option<Connection> {
+        self.idle().get_mut(&to)?.pop()
+    }
+
+    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns whether a connection is open and nothing has arrived on it.
+fn is_quiet(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let seen = stream.peek(&mut [0]);
+    let quiet = seen.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+    quiet && stream.set_nonblocking(false).is_ok()
+}
--- a/persimmondrift/src/entry/request.rs
+++ b/persimmondrift/src/entry/request.rs
@@ -6,51 +6,78 @@
 use super::Shared;
 use super::pool::Pool;
 use crate::adapter::caller::{Ask, Conclusion, Refusal};
-use crate::admit::{Call, Cause, Doubt, Outcome};
-use crate::route;
-use crate::unit::{Millis, Node, Request, Time};
+use crate::admit::{ADMIT_WITHIN, CLOCK_SLACK, Call, Cause, Doubt, Outcome, Ticket};
+use crate::member::Load;
+use crate::retry::{self, Need, TRIES};
+use crate::route::{self, Choice, Key};
+use crate::unit::{Boot, Bytes, Millis, Request, Service, Time};
 use crate::wire::{self, Body};
 
 /// Time a request may take when neither its caller nor its service says.
 const DEFAULT_TIMEOUT: Millis = Millis(30_000);
-/// Most targets that are tried for one request.
-const TRIES: usize = 3;
 /// Time beyond the deadline in which the agent may still tell what became of a request.
 const GRACE: Duration = Duration::from_millis(250);
+/// Frames of other requests that are passed over on a connection before it is given up.
+const STRAY_FRAMES: usize = 8;
+
+/// A request on its way to its conclusion.
+struct Journey {
+    service: Service,
+    idempotent: bool,
+    deadline: Time,
+    size: Bytes,
+    call: Call,
+}
 
 /// Carries a request to its conclusion.
 pub fn conclude(shared: &Shared, ask: Ask) -> Conclusion {
-    let request = Request(shared.random().u128(..));
-    let idempotent = ask.is_idempotent();
-    let service = ask.service.clone();
+    let Some(_seat) = shared.router.enter(ask.class) else {
+        return Conclusion::Refused(Refusal::Full);
+    };
+    let mut journey = begin(shared, ask);
+    shared.router.earn(&journey.service);
+    carry(shared, &mut journey)
+}
+
+fn begin(shared: &Shared, ask: Ask) -> Journey {
     let configured = {
         let core = shared.core();
-        core.config.services.get(&service).map(|serving| Millis(serving.timeout_ms))
+        core.config.services.get(&ask.service).map(|serving| Millis(serving.timeout_ms))
     };
     let timeout = ask.timeout.or(configured).unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = shared.now() + timeout;
-    let mut call = Call {
-        request,
-        class: ask.class,
-        budget: timeout,
-        method: ask.method,
-        path: ask.path,
-        headers: ask.headers,
-        body: ask.body,
-    };
-    let mut excluded: Vec<Node> = Vec::new();
-    let mut last = None;
-    while excluded.len() < TRIES {
-        let mut random = shared.random();
-        let chosen = {
-            let core = shared.core();
-            route::choose(&core.agents, &core.place, &service, &excluded, &mut random)
-        };
+    let request = Request(shared.random().u128(..));
+    Journey {
+        idempotent: ask.is_idempotent(),
+        deadline: shared.now() + timeout,
+        size: Bytes(u64::try_from(ask.body.len()).unwrap_or(u64::MAX)),
+        call: Call {
+            ticket: Ticket { request, boot: Boot(0), admit_by: Millis(0) },
+            class: ask.class,
+            budget: timeout,
+            method: ask.method,
+            path: ask.path,
+            headers: ask.headers,
+            body: ask.body,
+        },
+        service: ask.service,
+    }
+}
+
+/// Tries targets until the outcome is final or nothing is left to try.
+fn carry(shared: &Shared, journey: &mut Journey) -> Conclusion {
+    let request = journey.call.ticket.request;
+    let mut random = shared.random();
+    let mut excluded: Vec<Key> = Vec::new();
+    let mut earlier = None;
+    loop {
+        let now = shared.now();
+        let service = &journey.service;
+        let chosen = shared.router.choose(now, service, journey.size, &excluded, &mut random);
         let choice = match chosen {
             Ok(choice) => choice,
             Err(error) => {
-                crate::warn!(NotRouted, "request {request:?} service {service}: {error}");
-                return last.unwrap_or(Conclusion::Refused(Refusal::Route(error)));
+                crate::warn!(NotRouted, "request {:032x} service {service}: {error}", request.0);
+                return earlier.map_or(Conclusion::Refused(error.into()), Conclusion::Outcome);
             }
         };
         crate::log!(
@@ -62,29 +89,37 @@
             choice.load,
             excluded.len() + 1
         );
-        call.budget = left(shared, deadline);
-        let outcome = exchange(shared, choice.address, &call, deadline);
-        let again = match &outcome {
-            Outcome::Answered(_) => false,
-            Outcome::NotRun(cause) => *cause != Cause::Expired,
-            Outcome::Unknown(_) => idempotent,
-        };
-        if !again || left(shared, deadline) == Millis(0) {
-            crate::log!(Concluded, "request {:032x}: {}", request.0, word(&outcome));
+        let (outcome, load) = exchange(shared, &choice, journey);
+        let verdict = route::judge(&outcome);
+        shared.router.conclude(shared.now(), choice.key, verdict, load);
+        excluded.push(choice.key);
+        let last_try = excluded.len() >= TRIES || left(shared, journey.deadline) == Millis(0);
+        let again = !last_try
+            && match retry::need(&outcome, journey.idempotent) {
+                Need::Never => false,
+                Need::Token => shared.router.spend(&journey.service),
+                Need::Free => true,
+            };
+        let outcome = retry::merge(earlier.take(), outcome);
+        if !again {
+            crate::log!(Concluded, "request {:032x}: {}", request.0, Word(&outcome));
             return Conclusion::Outcome(outcome);
         }
-        crate::log!(Retried, "request {:032x}: {}", request.0, word(&outcome));
-        last = Some(Conclusion::Outcome(outcome));
-        excluded.push(choice.node);
+        crate::log!(Retried, "request {:032x}: {}", request.0, Word(&outcome));
+        earlier = Some(outcome);
     }
-    last.unwrap_or(Conclusion::Outcome(Outcome::Unknown(Doubt::AgentLost)))
 }
 
-fn word(outcome: &Outcome) -> String {
-    match outcome {
-        Outcome::Answered(answer) => format!("answered {}", answer.status),
-        Outcome::NotRun(cause) => format!("not run, {cause:?}"),
-        Outcome::Unknown(doubt) => format!("unknown, {doubt:?}"),
+/// Shows an outcome in a log line.
+struct Word<'a>(&'a Outcome);
+
+impl std::fmt::Display for Word<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.0 {
+            Outcome::Answered(answer) => write!(f, "answered {}", answer.status),
+            Outcome::NotRun(cause) => write!(f, "not run, {cause:?}"),
+            Outcome::Unknown(doubt) => write!(f, "unknown, {doubt:?}"),
+        }
     }
 }
 
@@ -93,49 +128,72 @@
 }
 
 /// Sends a call to an agent and waits for its outcome.
-fn exchange(shared: &Shared, to: SocketAddr, call: &Call, deadline: Time) -> Outcome {
-    let stream = match shared.pool.take(to) {
-        Some(stream) => stream,
-        None => match Pool::open(to) {
-            Ok(stream) => stream,
-            // Nothing was sent, so nothing can run.
-            Err(_) => return Outcome::NotRun(Cause::Unreachable),
-        },
+fn exchange(shared: &Shared, choice: &Choice, journey: &mut Journey) -> (Outcome, Option<Load>) {
+    let Ok(connection) = shared.pool.take(choice.address, choice.boot) else {
+        // Nothing was sent, so nothing can run.
+        return (Outcome::NotRun(Cause::Unreachable), None);
     };
-    match talk(shared, &stream, call, deadline) {
-        Ok(outcome) => {
-            shared.pool.give(to, stream);
-            outcome
+    let call = &mut journey.call;
+    call.budget = left(shared, journey.deadline);
+    let ahead = call.budget.min(ADMIT_WITHIN) + CLOCK_SLACK;
+    call.ticket.boot = choice.boot;
+    call.ticket.admit_by = Millis(choice.uptime.0 / 1_000) + ahead;
+    match talk(shared, &connection.stream, call, journey.deadline) {
+        Ok((outcome, load)) => {
+            shared.pool.give(choice.address, connection);
+            (outcome, Some(load))
         }
-        Err(_) => cancel(shared, to, call.request),
+        Err(Failure::Size) => (Outcome::NotRun(Cause::Size), None),
+        Err(Failure::Lost) => (cancel(shared, choice.address, call.ticket), None),
     }
 }
 
+/// Why a call brought no outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    /// The call is over the bound of a frame, and nothing was sent.
+    Size,
+    /// The connection failed, or the time is over.
+    Lost,
+}
+
 fn talk(
     shared: &Shared,
     stream: &TcpStream,
     call: &Call,
     deadline: Time,
-) -> Result<Outcome, wire::Error> {
+) -> Result<(Outcome, Load), Failure> {
     let timeout = deadline.since(shared.now()) + GRACE;
-    stream.set_read_timeout(Some(timeout))?;
-    wire::write(stream, &shared.link.frame(Body::Call(call.clone())))?;
-    match wire::read(stream)?.body {
-        Body::Outcome(request, outcome) if request == call.request => Ok(outcome),
-        _ => Ok(Outcome::Unknown(Doubt::AgentLost)),
+    stream.set_read_timeout(Some(timeout)).map_err(|_| Failure::Lost)?;
+    let frame = shared.link.frame(Body::Call(call.clone()));
+    wire::write(stream, &frame).map_err(|error| match error {
+        wire::Error::Size { .. } => Failure::Size,
+        _ => Failure::Lost,
+    })?;
+    for _ in 0..STRAY_FRAMES {
+        match wire::read(stream).map_err(|_| Failure::Lost)?.body {
+            Body::Outcome(request, outcome, load) if request == call.ticket.request => {
+                return Ok((outcome, load));
+            }
+            // A late or doubled frame of another request: its caller has been answered.
+            _ => {}
+        }
     }
+    Err(Failure::Lost)
 }
 
 /// Asks the agent to prove that a request has not run and will not.
-fn cancel(shared: &Shared, to: SocketAddr, request: Request) -> Outcome {
+fn cancel(shared: &Shared, to: SocketAddr, ticket: Ticket) -> Outcome {
     let ask = || -> Result<Body, wire::Error> {
         let stream = Pool::open(to)?;
         stream.set_read_timeout(Some(GRACE))?;
-        wire::write(&stream, &shared.link.frame(Body::Cancel(request)))?;
+        wire::write(&stream, &shared.link.frame(Body::Cancel(ticket)))?;
         Ok(wire::read(&stream)?.body)
     };
     match ask() {
-        Ok(Body::Cancelled(other, true)) if other == request => Outcome::NotRun(Cause::Cancelled),
+        Ok(Body::Cancelled(other, true)) if other == ticket.request => {
+            Outcome::NotRun(Cause::Cancelled)
+        }
         _ => Outcome::Unknown(Doubt::AgentLost),
     }
 }
--- a/persimmondrift/src/member.rs
+++ b/persimmondrift/src/member.rs
@@ -8,8 +8,8 @@
 
 use crate::gang;
 use crate::unit::{
-    Accelerators, Boot, Connections, Cores, Mebibytes, Node, Rack, Region, Sequence, Service,
-    Slots, Time, Version, Zone,
+    Accelerators, Boot, Connections, Cores, Mebibytes, Millis, Node, Rack, Region, Sequence,
+    Service, Slots, Time, Version, Zone,
 };
 
 /// Silence after which a member gets no new work.
@@ -52,6 +52,12 @@
     pub running: u32,
     /// Requests that wait at the agent.
     pub waiting: u32,
+    /// The time until a new interactive request would start.
+    pub wait: Millis,
+    /// Counts the reports of one start of the agent. A higher one replaces a lower one.
+    pub number: u64,
+    /// The uptime of the agent at the report.
+    pub uptime: Millis,
 }
 
 /// Whether a member takes new work.
--- a/persimmondrift/src/route.rs
+++ b/persimmondrift/src/route.rs
@@ -1,10 +1,30 @@
 //! Choosing the target of a request.
 
+pub mod health;
+pub mod index;
+pub mod tier;
+
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::admit::{Cause, Doubt, Outcome};
+use crate::member::{Load, Place};
+use crate::unit::{Boot, Bytes, Node, Service, Slots, Time};
+
+pub use index::Index;
+
+slotmap::new_key_type! {
+    /// Identifies one start of an agent in an [`Index`].
+    pub struct Key;
+}
 
-use crate::member::{Announce, Judgement, Place, State, View};
-use crate::unit::{Node, Service};
+/// Time that a request to another region and its answer spend on the way.
+pub const REMOTE_LATENCY: Duration = Duration::from_millis(60);
+/// Wait that is taken to save sending one mebibyte to another region.
+pub const REMOTE_VOLUME: Duration = Duration::from_millis(200);
+/// Uptime of an agent until which its target gets less than its full share.
+pub const SLOW_START: Duration = Duration::from_secs(10);
 
 /// How far a target is from the entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,17 +37,55 @@
     Remote,
 }
 
+/// What is known of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Facts {
+    /// The node of its agent.
+    pub node: Node,
+    /// The start of its agent.
+    pub boot: Boot,
+    /// The address of its agent.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub place: Place,
+    /// The service that it offers.
+    pub service: Service,
+    /// Requests that it serves at once.
+    pub slots: Slots,
+    /// How busy it is.
+    pub load: Load,
+    /// Whether it takes new work.
+    pub open: bool,
+}
+
 /// A chosen target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
+    /// The target.
+    pub key: Key,
     /// The node of its agent.
     pub node: Node,
+    /// The start of its agent.
+    pub boot: Boot,
     /// The address of its agent.
     pub address: SocketAddr,
     /// Its distance.
     pub distance: Distance,
-    /// Requests running and waiting there, as last reported.
+    /// Requests that run and wait there, as far as known, this one included.
     pub load: u32,
+    /// The uptime of its agent, at least.
+    pub uptime: Time,
+}
+
+/// What an outcome says of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It serves.
+    Good,
+    /// It fails.
+    Bad,
+    /// Nothing.
+    Neutral,
 }
 
 /// Why no target was chosen.
@@ -64,45 +122,21 @@
     }
 }
 
-/// Chooses a target: the nearest with a free slot, the less loaded of two at random.
-///
-/// # Errors
-///
-/// Returns [`Error`] if no target offers the service or takes new work.
-pub fn choose(
-    agents: &View<Announce>,
-    from: &Place,
-    service: &Service,
-    excluded: &[Node],
-    random: &mut fastrand::Rng,
-) -> Result<Choice, Error> {
-    let mut known = false;
-    let mut candidates: Vec<(bool, Choice)> = Vec::new();
-    for (node, member) in agents.iter() {
-        let said = &member.said;
-        if said.service != *service {
-            continue;
-        }
-        known = true;
-        let open = member.judgement == Judgement::Alive && said.state == State::Serving;
-        if !open || excluded.contains(node) {
-            continue;
-        }
-        let load = said.load.running + said.load.waiting;
-        let choice = Choice {
-            node: node.clone(),
-            address: said.address,
-            distance: distance(from, &said.place),
-            load,
-        };
-        candidates.push((load >= said.capacity.slots.0, choice));
+/// Returns the wait that is taken to keep a request of some size in its region.
+#[must_use]
+pub fn remote_cost(size: Bytes) -> Duration {
+    let micros = u64::try_from(REMOTE_VOLUME.as_micros()).unwrap_or(u64::MAX);
+    REMOTE_LATENCY + Duration::from_micros(micros.saturating_mul(size.0) >> 20)
+}
+
+/// Returns what an outcome says of its target.
+#[must_use]
+pub fn judge(outcome: &Outcome) -> Verdict {
+    match outcome {
+        Outcome::Answered(answer) if answer.status >= 500 => Verdict::Bad,
+        Outcome::Answered(_) => Verdict::Good,
+        Outcome::NotRun(Cause::Unreachable)
+        | Outcome::Unknown(Doubt::Broken | Doubt::Timeout | Doubt::AgentLost) => Verdict::Bad,
+        Outcome::NotRun(_) | Outcome::Unknown(_) => Verdict::Neutral,
     }
-    let Some(best) = candidates.iter().map(|(full, c)| (*full, c.distance)).min() else {
-        return Err(if known { Error::NoneOpen } else { Error::NoTarget });
-    };
-    candidates.retain(|(full, choice)| (*full, choice.distance) == best);
-    let first = random.usize(..candidates.len());
-    let second = random.usize(..candidates.len());
-    let index = if candidates[second].1.load < candidates[first].1.load { second } else { first };
-    Ok(candidates.swap_remove(index).1)
 }
--- /dev/null
+++ b/persimmondrift/src/route/tier.rs
@@ -0,0 +1,57 @@
+//! The targets of one service at one distance.
+
+use super::Key;
+
+/// A set of targets from which one is drawn at random in constant time.
+#[derive(Debug, Default)]
+pub struct Draw {
+    keys: Vec<Key>,
+}
+
+/// Where a target stands in a [`Draw`], if it does.
+pub type Position = Option<usize>;
+
+/// The targets of one service at one distance.
+#[derive(Debug, Default)]
+pub struct Tier {
+    /// Those that take new work.
+    pub open: Draw,
+    /// Those that have a free slot besides.
+    pub roomy: Draw,
+}
+
+impl Draw {
+    /// Returns the targets.
+    #[must_use]
+    pub fn keys(&self) -> &[Key] {
+        &self.keys
+    }
+
+    /// Adds a target and returns its position.
+    pub fn add(&mut self, key: Key) -> usize {
+        self.keys.push(key);
+        self.keys.len() - 1
+    }
+
+    /// Removes the target at a position. Returns the one that has moved there.
+    pub fn remove(&mut self, position: usize) -> Option<Key> {
+        self.keys.swap_remove(position);
+        self.keys.get(position).copied()
+    }
+
+    /// Draws two targets that are not excluded; both may be the same.
+    pub fn two(&self, excluded: &[Key], random: &mut fastrand::Rng) -> Option<(Key, Key)> {
+        let first = self.one(excluded, random)?;
+        let second = self.one(excluded, random)?;
+        Some((first, second))
+    }
+
+    fn one(&self, excluded: &[Key], random: &mut fastrand::Rng) -> Option<Key> {
+        if self.keys.is_empty() {
+            return None;
+        }
+        let start = random.usize(..self.keys.len());
+        let (before, after) = self.keys.split_at(start);
+        after.iter().chain(before).find(|key| !excluded.contains(key)).copied()
+    }
+}
--- a/persimmondrift/src/wire.rs
+++ b/persimmondrift/src/wire.rs
@@ -43,10 +43,10 @@
     Report(gang::Report),
     /// Entry to agent: a request.
     Call(admit::Call),
-    /// Agent to entry: what became of a request.
-    Outcome(Request, admit::Outcome),
+    /// Agent to entry: what became of a request, and how busy the target is now.
+    Outcome(Request, admit::Outcome, member::Load),
     /// Entry to agent: do not run this request.
-    Cancel(Request),
+    Cancel(admit::Ticket),
     /// Agent to entry: whether it is proved that the request did not run.
     Cancelled(Request, bool),
     /// Any to entry: send the records after this version.
