Add declarations in TOML files and their difference

Cause: operators keep workspaces, services and drains in version control, but only single changes could be stated. Ruled out: letting a file that does not name drains end all drains, since drains are also made by hand; taking the later of two files that declare the same name, since it hides a mistake. A directory without a .toml file is refused: a wrong path would remove everything.

--- a/persimmondrift/src/config.rs
+++ b/persimmondrift/src/config.rs
@@ -54,6 +54,11 @@
         /// How it is served.
         serving: Serving,
     },
+    /// Removes a service.
+    RemoveService {
+        /// Its name.
+        service: Service,
+    },
     /// Lets a node finish its work and take nothing new.
     Drain {
         /// The node.
@@ -161,6 +166,9 @@
             Change::PutService { service, serving } => {
                 self.services.insert(service, serving);
             }
+            Change::RemoveService { service } => {
+                self.services.remove(&service);
+            }
             Change::Drain { node } => {
                 self.drained.insert(node);
             }
--- /dev/null
+++ b/persimmondrift/src/declare.rs
@@ -0,0 +1,184 @@
+//! Declarations: what operators keep in version-controlled TOML files, compared with the
+//! configuration in force.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use crate::config::{Change, Config, Quota, Serving};
+use crate::settings::{self, FILE_BYTES};
+use crate::unit::{Node, Service, Workspace};
+
+/// Most files of one declaration.
+pub const FILES: usize = 1_024;
+
+/// What shall be in force.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Declaration {
+    /// The workspaces; others are removed.
+    #[serde(default)]
+    pub workspaces: BTreeMap<Workspace, Quota>,
+    /// The services; others are removed.
+    #[serde(default)]
+    pub services: BTreeMap<Service, Serving>,
+    /// The nodes that take no new work. If unstated, drains stay as they are.
+    #[serde(default)]
+    pub drained: Option<BTreeSet<Node>>,
+}
+
+/// Reports files that are no declaration.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The directory cannot be read.
+    #[error("{directory}: cannot be read: {cause}")]
+    Directory {
+        /// The directory.
+        directory: PathBuf,
+        /// The cause.
+        cause: std::io::Error,
+    },
+    /// The directory holds no file that ends in `.toml`.
+    #[error("{directory}: holds no .toml file, so everything would be removed")]
+    NoFiles {
+        /// The directory.
+        directory: PathBuf,
+    },
+    /// The directory holds too many files.
+    #[error("{directory}: {found} files are over the limit of {FILES}")]
+    Files {
+        /// The directory.
+        directory: PathBuf,
+        /// Their number.
+        found: usize,
+    },
+    /// A file cannot be read or is malformed.
+    #[error("{0}")]
+    File(#[from] settings::Error),
+    /// Two files declare the same.
+    #[error("{file}: {name} is declared in {first} already")]
+    Twice {
+        /// The name of the workspace or service.
+        name: String,
+        /// The file that declares it first.
+        first: PathBuf,
+        /// The file that declares it again.
+        file: PathBuf,
+    },
+}
+
+/// Reads the declaration that the `.toml` files of a directory make up together.
+///
+/// # Errors
+///
+/// Returns [`Error`] that names the file, and the line and key if one is wrong.
+pub fn read(directory: impl AsRef<Path>) -> Result<Declaration, Error> {
+    let mut parts = Vec::new();
+    for file in list(directory.as_ref())? {
+        let part = settings::read(&file)?;
+        parts.push((file, part));
+    }
+    merge(parts)
+}
+
+/// Reads the declaration in the text of one file.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the text is too large or malformed.
+pub fn parse(file: impl Into<PathBuf>, text: &str) -> Result<Declaration, Error> {
+    let file = file.into();
+    let found = u64::try_from(text.len()).unwrap_or(u64::MAX);
+    if found > FILE_BYTES {
+        return Err(settings::Error::Size { file, found }.into());
+    }
+    let malformed = |cause| settings::Error::Malformed { file, cause: Box::new(cause) };
+    Ok(toml::from_str(text).map_err(malformed)?)
+}
+
+/// Puts the parts of a declaration together.
+///
+/// # Errors
+///
+/// Returns [`Error::Twice`] if two files declare the same workspace or service.
+pub fn merge(
+    parts: impl IntoIterator<Item = (PathBuf, Declaration)>,
+) -> Result<Declaration, Error> {
+    let mut whole = Declaration::default();
+    let mut files = BTreeMap::new();
+    for (file, part) in parts {
+        for (workspace, quota) in part.workspaces {
+            claim(&mut files, format!("workspace {workspace}"), &file)?;
+            whole.workspaces.insert(workspace, quota);
+        }
+        for (service, serving) in part.services {
+            claim(&mut files, format!("service {service}"), &file)?;
+            whole.services.insert(service, serving);
+        }
+        if let Some(nodes) = part.drained {
+            whole.drained.get_or_insert_default().extend(nodes);
+        }
+    }
+    Ok(whole)
+}
+
+/// Returns the changes that bring a configuration to what is declared.
+///
+/// They come in the order of names, removals last, so that nothing refers to what is gone.
+#[must_use]
+pub fn changes(config: &Config, declared: &Declaration) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (workspace, quota) in &declared.workspaces {
+        if config.workspaces.get(workspace) != Some(quota) {
+            let (workspace, quota) = (workspace.clone(), quota.clone());
+            changes.push(Change::PutWorkspace { workspace, quota });
+        }
+    }
+    for (service, serving) in &declared.services {
+        if config.services.get(service) != Some(serving) {
+            let (service, serving) = (service.clone(), serving.clone());
+            changes.push(Change::PutService { service, serving });
+        }
+    }
+    if let Some(drained) = &declared.drained {
+        let begun = drained.difference(&config.drained).cloned();
+        changes.extend(begun.map(|node| Change::Drain { node }));
+        let ended = config.drained.difference(drained).cloned();
+        changes.extend(ended.map(|node| Change::Undrain { node }));
+    }
+    let kept = |service: &&Service| declared.services.contains_key(*service);
+    let gone = config.services.keys().filter(|service| !kept(service)).cloned();
+    changes.extend(gone.map(|service| Change::RemoveService { service }));
+    let kept = |workspace: &&Workspace| declared.workspaces.contains_key(*workspace);
+    let gone = config.workspaces.keys().filter(|workspace| !kept(workspace)).cloned();
+    changes.extend(gone.map(|workspace| Change::RemoveWorkspace { workspace }));
+    changes
+}
+
+fn list(directory: &Path) -> Result<Vec<PathBuf>, Error> {
+    let unreadable = |cause| Error::Directory { directory: directory.to_owned(), cause };
+    let mut files = Vec::new();
+    for item in std::fs::read_dir(directory).map_err(unreadable)? {
+        let path = item.map_err(unreadable)?.path();
+        if path.extension().is_some_and(|extension| extension == "toml") {
+            files.push(path);
+        }
+    }
+    if files.is_empty() {
+        return Err(Error::NoFiles { directory: directory.to_owned() });
+    }
+    if files.len() > FILES {
+        return Err(Error::Files { directory: directory.to_owned(), found: files.len() });
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn claim(files: &mut BTreeMap<String, PathBuf>, name: String, file: &Path) -> Result<(), Error> {
+    if let Some(first) = files.get(&name) {
+        return Err(Error::Twice { name, first: first.clone(), file: file.to_owned() });
+    }
+    files.insert(name, file.to_owned());
+    Ok(())
+}
--- a/persimmondrift/src/intent.rs
+++ b/persimmondrift/src/intent.rs
@@ -140,6 +140,7 @@
         Change::PutService { service, serving } => {
             format!("service {service}: timeout {} ms", serving.timeout_ms)
         }
+        Change::RemoveService { service } => format!("service {service}: removed"),
         Change::Drain { node } => format!("node {node}: takes no new work"),
         Change::Undrain { node } => format!("node {node}: takes new work again"),
         Change::Submit { job, spec } => format!(
--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod agent;
 pub mod config;
+pub mod declare;
 pub mod entry;
 pub mod event;
 pub mod gang;
