--- a/persimmondrift/src/adapter.rs
+++ b/persimmondrift/src/adapter.rs
@@ -11,7 +11,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -19,10 +19,10 @@
 
 use crate::admit::BODY_LIMIT;
 
-/// Pause after which a server without requests looks whether it is to stop.
-const STOP_POLL: Duration = Duration::from_millis(20);
-/// Time given to a stopping server to find a pause between requests that go on coming in.
-const STOP_LIMIT: Duration = Duration::from_secs(2);
+/// Time without a new request after which a server that stops is taken to be idle.
+const IDLE: Duration = Duration::from_millis(50);
+/// Time after which a server that is still sent new requests stops all the same.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// An HTTP server that runs until it is stopped.
 pub struct Http {
@@ -30,7 +30,7 @@
     pub address: SocketAddr,
     thread: JoinHandle<()>,
     stop: Arc<AtomicBool>,
-    running: Arc<AtomicUsize>,
+    join: Box<dyn Fn() + Send + Sync>,
 }
 
 /// Reports a body that cannot be taken.
@@ -56,28 +56,23 @@
         handle: impl Fn(&Request) -> Response + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let stop = Arc::new(AtomicBool::new(false));
-        let running = Arc::new(AtomicUsize::new(0));
-        let (stopping, count) = (Arc::clone(&stop), Arc::clone(&running));
-        let server = Server::new(listen, move |request: &Request| {
-            if stopping.load(Ordering::Relaxed) {
-                return refuse();
-            }
-            count.fetch_add(1, Ordering::Relaxed);
-            let response = handle(request);
-            count.fetch_sub(1, Ordering::Relaxed);
-            response
-        });
-        let server = server.map_err(std::io::Error::other)?.pool_size(threads);
+        let refuses = Arc::clone(&stop);
+        let handle = move |request: &Request| {
+            if refuses.load(Ordering::Relaxed) { stopping() } else { handle(request) }
+        };
+        let server = Server::new(listen, handle).map_err(std::io::Error::other)?;
+        let server = Arc::new(server.pool_size(threads));
         let address = server.server_addr();
-        let asked = Arc::clone(&stop);
+        let (polled, stopped) = (Arc::clone(&server), Arc::clone(&stop));
         let thread = thread::spawn(move || {
-            while !asked.load(Ordering::Relaxed) {
-                server.poll_timeout(STOP_POLL);
+            while !stopped.load(Ordering::Relaxed) {
+                polled.poll_timeout(IDLE);
             }
-            // Waits until every response that is owed has been written.
-            server.join();
+            // What has arrived until now gets its answer.
+            polled.poll_timeout(IDLE);
         });
-        Ok(Self { address, thread, stop, running })
+        let join = Box::new(move || server.join());
+        Ok(Self { address, thread, stop, join })
     }
 
     /// Returns whether the server's thread has ended.
@@ -86,33 +81,22 @@
         self.thread.is_finished()
     }
 
-    /// Refuses what comes in from now on with status 503.
-    pub fn refuse(&self) {
-        self.stop.store(true, Ordering::Relaxed);
-    }
-
-    /// Stops accepting, and waits until what is in flight has ended.
-    ///
-    /// Requests that come in meanwhile are refused. The server's thread sees the stop in the
-    /// first pause between two requests; without such a pause it is left behind.
+    /// Refuses new requests, and waits until those in flight have been answered.
     pub fn stop(self) {
-        self.refuse();
+        self.stop.store(true, Ordering::Relaxed);
         let begin = Instant::now();
-        while !self.thread.is_finished() {
-            let idle = self.running.load(Ordering::Relaxed) == 0;
-            if idle && begin.elapsed() >= STOP_LIMIT {
-                return;
-            }
-            thread::sleep(STOP_POLL);
+        while !self.thread.is_finished() && begin.elapsed() < STOP_LIMIT {
+            thread::sleep(IDLE / 5);
         }
-        let _ = self.thread.join();
+        (self.join)();
     }
 }
 
-fn refuse() -> Response {
-    Response::text("this process is stopping; ask another one")
+fn stopping() -> Response {
+    Response::text("stopping")
         .with_status_code(503)
         .with_additional_header("Retry-After", "1")
+        .with_additional_header(caller::OUTCOME_HEADER, "refused")
 }
 
 /// Reads the whole body of a request, up to the bound.
--- a/persimmondrift/src/settings.rs
+++ b/persimmondrift/src/settings.rs
@@ -179,9 +179,14 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Malformed`] that names the file, the line and the key.
+/// Returns [`Error`] that names the file, the line and the key.
 pub fn parse<T: DeserializeOwned>(file: impl AsRef<Path>, text: &str) -> Result<T, Error> {
-    toml::from_str(text).map_err(|error| malformed(file.as_ref(), text, &error))
+    let file = file.as_ref();
+    let found = u64::try_from(text.len()).unwrap_or(u64::MAX);
+    if found > FILE_BYTES {
+        return Err(Error::Size { file: file.to_owned(), found });
+    }
+    toml::from_str(text).map_err(|error| malformed(file, text, &error))
 }
 
 fn malformed(file: &Path, text: &str, error: &toml::de::Error) -> Error {
