Give operators a command line

Cause: persimmonctl knew no command, and stand-ins lived only inside tests. It plans, confirms, applies declarations, drains, cancels, explains and shows, with tables or JSON, exit codes and messages that say what to do next; several entries are tried in turn. Stand-ins run as processes on loopback with persimmon-load standin.

Ruled out: confirming at once by default, since nothing may change before a confirmation.

--- /dev/null
+++ b/persimmon-load/src/alone.rs
@@ -0,0 +1,48 @@
+//! Stand-ins as processes of their own, on loopback, for a first try with real daemons.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{bail, ensure};
+use lexopt::ValueExt;
+use lexopt::prelude::{Long, Value};
+use standin::table::Table;
+use standin::target::Target;
+use standin::worker::Worker;
+
+/// Time that a request takes at the target.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Runs a stand-in until the process is ended.
+///
+/// # Errors
+///
+/// Returns an error if the arguments are wrong or the address cannot be listened at.
+pub fn run(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
+    let (mut kind, mut listen) = (None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(word) if kind.is_none() => kind = Some(word.string()?),
+            Long("listen") => listen = Some(parser.value()?.parse::<SocketAddr>()?),
+            other => bail!("{}; see --help", other.unexpected()),
+        }
+    }
+    let Some((kind, listen)) = kind.zip(listen) else {
+        bail!("give table, target or worker, and --listen ADDRESS");
+    };
+    ensure!(listen.ip().is_loopback(), "a stand-in listens on loopback only, not at {listen}");
+    match kind.as_str() {
+        "table" => serve(&Table::start_at(listen)?.url()),
+        "target" => serve(&Target::start_at(listen, SERVICE_TIME)?.url()),
+        "worker" => serve(&Worker::start_at(listen)?.url()),
+        other => bail!("`{other}` is no stand-in; give table, target or worker"),
+    }
+}
+
+fn serve(url: &str) -> ! {
+    println!("listening at {url}");
+    loop {
+        thread::park();
+    }
+}
--- /dev/null
+++ b/persimmonctl/src/argument.rs
@@ -0,0 +1,188 @@
+//! Arguments, environment and settings of the command line.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{env, fs};
+
+use lexopt::ValueExt;
+use lexopt::prelude::{Long, Short, Value};
+use persimmondrift::settings;
+use persimmondrift::settings::measure::Span;
+use persimmondrift::unit::{Job, Node};
+use serde::Deserialize;
+
+use crate::error::Error;
+
+/// Time given to one call when nothing is stated.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// What the commands on one job need.
+const JOB: &str = "the number of a job";
+/// What the commands on one node need.
+const NODE: &str = "the name of a node";
+/// Environment variable with the operators' addresses of the entries.
+const ENTRIES: &str = "PERSIMMON_ENTRIES";
+/// Environment variable with the operator's token.
+const TOKEN: &str = "PERSIMMON_TOKEN";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub struct Request {
+    /// The command.
+    pub command: Command,
+    /// The operators' addresses of the entries, tried in turn.
+    pub entries: Vec<SocketAddr>,
+    /// The operator's token.
+    pub token: String,
+    /// Time given to one call.
+    pub timeout: Duration,
+    /// Whether JSON is wanted in place of tables.
+    pub json: bool,
+    /// Whether a plan is confirmed as soon as it is made.
+    pub confirm: bool,
+    /// The file that a plan is written to.
+    pub out: Option<PathBuf>,
+}
+
+/// A command with its operands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Prints the help of a command, or of all.
+    Help(Option<String>),
+    /// Makes a plan of the changes in a file.
+    Plan(PathBuf),
+    /// Confirms a plan by its id or its file.
+    Confirm(String),
+    /// Brings the system to what the files of a directory declare.
+    Apply(PathBuf),
+    /// Shows the state.
+    Status,
+    /// Shows the jobs.
+    Jobs,
+    /// Shows the targets.
+    Targets,
+    /// Shows the guarantees and who claims them.
+    Claims,
+    /// Shows what a job does or waits for.
+    Explain(Job),
+    /// Lets a node finish its work and take nothing new.
+    Drain(Node),
+    /// Takes back a drain.
+    Undrain(Node),
+    /// Cancels jobs.
+    Cancel(Vec<Job>),
+}
+
+/// The settings file.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The operators' addresses of the entries.
+    pub entries: Vec<SocketAddr>,
+    /// The file with the operator's token.
+    pub token_file: Option<PathBuf>,
+    /// Time given to one call.
+    pub timeout: Option<Span>,
+}
+
+/// Reads the arguments, then the environment, then the settings file.
+pub fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Request, Error> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut request = Request {
+        command: Command::Help(None),
+        entries: Vec::new(),
+        token: String::new(),
+        timeout: TIMEOUT,
+        json: false,
+        confirm: false,
+        out: None,
+    };
+    let (mut words, mut help) = (Vec::new(), false);
+    let (mut settings_file, mut token_file) = (None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => help = true,
+            Long("json") => request.json = true,
+            Long("confirm") => request.confirm = true,
+            Long("out") => request.out = Some(parser.value()?.into()),
+            Long("entry") => request.entries.push(parser.value()?.parse()?),
+            Long("settings") => settings_file = Some(PathBuf::from(parser.value()?)),
+            Long("token-file") => token_file = Some(PathBuf::from(parser.value()?)),
+            Value(word) => words.push(word.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if help || words.first().is_some_and(|word| word == "help") {
+        words.retain(|word| word != "help");
+        request.command = Command::Help(words.into_iter().next());
+        return Ok(request);
+    }
+    request.command = command(&words)?;
+    let settings = match settings_file {
+        Some(file) => settings::read(file)?,
+        None => Settings::default(),
+    };
+    if request.entries.is_empty() {
+        request.entries = from_environment()?.unwrap_or(settings.entries);
+    }
+    if request.entries.is_empty() {
+        return Err(Error::NoEntries);
+    }
+    request.timeout = settings.timeout.map_or(TIMEOUT, |span| span.0);
+    request.token = token(token_file.or(settings.token_file))?;
+    Ok(request)
+}
+
+fn from_environment() -> Result<Option<Vec<SocketAddr>>, Error> {
+    let Ok(text) = env::var(ENTRIES) else {
+        return Ok(None);
+    };
+    let parse = |word: &str| word.trim().parse().map_err(|_| Error::NoEntries);
+    text.split(',').map(parse).collect::<Result<_, _>>().map(Some)
+}
+
+fn token(file: Option<PathBuf>) -> Result<String, Error> {
+    if let Ok(token) = env::var(TOKEN) {
+        return Ok(token);
+    }
+    let file = file.ok_or(Error::NoToken)?;
+    read_text(&file).map(|text| text.trim().to_owned())
+}
+
+/// Reads a file.
+pub fn read_text(file: &Path) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|error| Error::File(file.to_owned(), error))
+}
+
+fn command(words: &[String]) -> Result<Command, Error> {
+    let (name, operands) = words.split_first().ok_or(Error::NoCommand)?;
+    let one = |needs: &'static str| match operands {
+        [operand] => Ok(operand),
+        _ => Err(Error::Operand(needs)),
+    };
+    let none = |command: Command| {
+        if operands.is_empty() { Ok(command) } else { Err(Error::Operand("no operand")) }
+    };
+    match name.as_str() {
+        "plan" => Ok(Command::Plan(one("one file with changes")?.into())),
+        "confirm" => Ok(Command::Confirm(one("the id of a plan, or its file")?.clone())),
+        "apply" => Ok(Command::Apply(one("one directory with declarations")?.into())),
+        "status" => none(Command::Status),
+        "jobs" => none(Command::Jobs),
+        "targets" => none(Command::Targets),
+        "claims" => none(Command::Claims),
+        "explain" => {
+            let job = one(JOB)?.parse().map_err(|_| Error::Operand(JOB))?;
+            Ok(Command::Explain(job))
+        }
+        "drain" => Ok(Command::Drain(one(NODE)?.parse().map_err(|_| Error::Operand(NODE))?)),
+        "undrain" => Ok(Command::Undrain(one(NODE)?.parse().map_err(|_| Error::Operand(NODE))?)),
+        "cancel" if operands.is_empty() => Err(Error::Operand(JOB)),
+        "cancel" => {
+            let jobs = operands.iter().map(|word| word.parse()).collect::<Result<_, _>>();
+            jobs.map(Command::Cancel).map_err(|_| Error::Operand(JOB))
+        }
+        other => Err(Error::Command(other.to_owned())),
+    }
+}
--- /dev/null
+++ b/persimmonctl/src/command.rs
@@ -0,0 +1,151 @@
+//! The commands.
+
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+
+use persimmondrift::config::Change;
+use persimmondrift::declare;
+use persimmondrift::intent::Draft;
+use serde::{Deserialize, Serialize};
+
+use crate::argument::{Command, Request, read_text};
+use crate::client::Client;
+use crate::error::{Error, Exit};
+use crate::show;
+
+/// A file with an intent.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Intent {
+    /// The changes, in order.
+    change: Vec<Change>,
+}
+
+/// Carries out a command.
+pub fn run(request: &Request, out: &mut impl Write) -> Result<Exit, Error> {
+    let client = Client::new(request);
+    match &request.command {
+        Command::Help(command) => {
+            put(out, show::help(command.as_deref()))?;
+            Ok(Exit::Done)
+        }
+        Command::Plan(file) => {
+            let changes = read_intent(file)?;
+            intend(request, &client, &changes, out)
+        }
+        Command::Confirm(plan) => confirm(request, &client, plan, out),
+        Command::Apply(directory) => {
+            let declared = declare::read(directory)?;
+            let changes = declare::changes(&client.status()?.config, &declared);
+            if changes.is_empty() {
+                put(out, "what is declared is in force\n")?;
+                return Ok(Exit::Done);
+            }
+            intend(request, &client, &changes, out)
+        }
+        Command::Drain(node) => {
+            intend(request, &client, &[Change::Drain { node: node.clone() }], out)
+        }
+        Command::Undrain(node) => {
+            intend(request, &client, &[Change::Undrain { node: node.clone() }], out)
+        }
+        Command::Cancel(jobs) => {
+            let changes: Vec<Change> = jobs.iter().map(|&job| Change::Cancel { job }).collect();
+            intend(request, &client, &changes, out)
+        }
+        Command::Status => {
+            let status = client.status()?;
+            print(request, out, &status, || show::status(&status))
+        }
+        Command::Jobs => {
+            let jobs = show::Jobs::from(client.status()?);
+            print(request, out, &jobs, || show::jobs(&jobs))
+        }
+        Command::Targets => {
+            let agents = client.status()?.agents;
+            print(request, out, &agents, || show::targets(&agents))
+        }
+        Command::Claims => {
+            let claims = show::claims(&client.status()?.config);
+            print(request, out, &claims, || show::claim_table(&claims))
+        }
+        Command::Explain(job) => {
+            let explained = show::explain(&client.status()?, *job).ok_or(Error::NoJob(*job))?;
+            print(request, out, &explained, || show::explained(&explained))
+        }
+    }
+}
+
+/// Makes a plan, and confirms it if that is asked for.
+fn intend(
+    request: &Request,
+    client: &Client<'_>,
+    changes: &[Change],
+    out: &mut impl Write,
+) -> Result<Exit, Error> {
+    let draft = client.plan(changes)?;
+    if let Some(file) = &request.out {
+        let text = serde_json::to_vec_pretty(&draft).unwrap_or_default();
+        fs::write(file, text).map_err(|error| Error::File(file.clone(), error))?;
+    }
+    print(request, out, &draft, || show::draft(&draft))?;
+    if !request.confirm {
+        return Ok(Exit::Pending);
+    }
+    accept(request, client, &draft, out)
+}
+
+fn confirm(
+    request: &Request,
+    client: &Client<'_>,
+    plan: &str,
+    out: &mut impl Write,
+) -> Result<Exit, Error> {
+    if let Ok(plan) = plan.parse() {
+        let version = client.confirm(plan, None)?;
+        return print(request, out, &version, || show::confirmed(plan, version));
+    }
+    let file = Path::new(plan);
+    let draft: Draft = serde_json::from_str(&read_text(file)?)
+        .map_err(|error| Error::Intent(file.to_owned(), error.to_string()))?;
+    accept(request, client, &draft, out)
+}
+
+fn accept(
+    request: &Request,
+    client: &Client<'_>,
+    draft: &Draft,
+    out: &mut impl Write,
+) -> Result<Exit, Error> {
+    let version = client.confirm(draft.plan, Some(draft))?;
+    print(request, out, &version, || show::confirmed(draft.plan, version))
+}
+
+fn read_intent(file: &Path) -> Result<Vec<Change>, Error> {
+    if file.extension().is_some_and(|extension| extension == "json") {
+        return serde_json::from_str(&read_text(file)?)
+            .map_err(|error| Error::Intent(file.to_owned(), error.to_string()));
+    }
+    let intent: Intent = persimmondrift::settings::read(file)?;
+    Ok(intent.change)
+}
+
+fn print(
+    request: &Request,
+    out: &mut impl Write,
+    value: &impl Serialize,
+    table: impl FnOnce() -> String,
+) -> Result<Exit, Error> {
+    if request.json {
+        let text = serde_json::to_string_pretty(value).unwrap_or_default();
+        put(out, text + "\n")?;
+    } else {
+        put(out, table())?;
+    }
+    Ok(Exit::Done)
+}
+
+fn put(out: &mut impl Write, text: impl AsRef<str>) -> Result<(), Error> {
+    out.write_all(text.as_ref().as_bytes()).map_err(Error::Output)
+}
--- a/persimmonctl/src/main.rs
+++ b/persimmonctl/src/main.rs
@@ -1,5 +1,9 @@
 //! The operators' command line.
 
-fn main() -> anyhow::Result<()> {
-    anyhow::bail!("no command is known yet")
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os().skip(1);
+    let code = persimmonctl::run(arguments, &mut std::io::stdout(), &mut std::io::stderr());
+    ExitCode::from(code)
 }
--- /dev/null
+++ b/persimmonctl/src/show.rs
@@ -0,0 +1,287 @@
+//! Tables and help for people.
+
+use std::fmt::{Display, Write};
+
+use persimmondrift::adapter::operator::{Agent, Status};
+use persimmondrift::config::Config;
+use persimmondrift::intent::Draft;
+use persimmondrift::place::{Outcome, Spec, Summary};
+use persimmondrift::unit::{Job, Plan, Version, Workspace};
+use serde::Serialize;
+
+/// The jobs that are known.
+#[derive(Debug, Serialize)]
+pub struct Jobs {
+    /// The jobs that have not ended.
+    accepted: Vec<(Job, Spec)>,
+    /// The jobs that have ended, as far as the entries remember.
+    ended: Vec<(Job, Outcome)>,
+}
+
+impl From<Status> for Jobs {
+    fn from(status: Status) -> Self {
+        Self { accepted: status.config.jobs.into_iter().collect(), ended: status.ended }
+    }
+}
+
+/// The guarantees of a workspace, and the jobs that claim them.
+#[derive(Debug, Serialize)]
+pub struct Claims {
+    workspace: Workspace,
+    guarantees: Vec<String>,
+    claimed_by: Vec<Job>,
+}
+
+/// What is known of one job.
+#[derive(Debug, Serialize)]
+pub struct Explained {
+    job: Job,
+    outcome: Option<Outcome>,
+    spec: Option<Spec>,
+    zones: Vec<(String, Summary)>,
+}
+
+/// Lays out rows in columns, the first row as the head.
+fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let line = cells.collect::<Vec<_>>().join("  ");
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn row(cells: &[&dyn Display]) -> Vec<String> {
+    cells.iter().map(|cell| format!("{cell}")).collect()
+}
+
+/// Shows a plan.
+pub fn draft(draft: &Draft) -> String {
+    let mut text = format!("plan {} from version {}:\n", draft.plan, draft.base);
+    for effect in &draft.effects {
+        let _ = writeln!(text, "  {effect}");
+    }
+    text + &format!("nothing has changed yet; confirm with: persimmonctl confirm {}\n", draft.plan)
+}
+
+/// Shows that a plan was confirmed.
+pub fn confirmed(plan: Plan, version: Version) -> String {
+    format!("plan {plan} is confirmed: version {version}\n")
+}
+
+/// Shows the state of the system.
+pub fn status(status: &Status) -> String {
+    let config = &status.config;
+    let mut behind = 0;
+    for agent in &status.agents {
+        behind += usize::from(agent.version < config.version);
+    }
+    let mut text = format!(
+        "version {}, {} workspaces, {} services, {} jobs not ended, {} drained\n\
+         {} targets, {behind} of them behind version {}\n",
+        config.version,
+        config.workspaces.len(),
+        config.services.len(),
+        config.jobs.len(),
+        config.drained.len(),
+        status.agents.len(),
+        config.version
+    );
+    let mut rows = vec![row(&[&"ZONE", &"WORKERS", &"FREE ACCELERATORS", &"JOBS WAITING"])];
+    for (zone, summary) in &status.zones {
+        rows.push(row(&[zone, &summary.workers, &summary.free, &summary.waiting]));
+    }
+    text.push_str(&table(&rows));
+    text
+}
+
+/// Shows the jobs.
+pub fn jobs(jobs: &Jobs) -> String {
+    let mut rows = vec![row(&[&"JOB", &"STATE", &"WORKSPACE", &"KIND", &"CLASS", &"SHAPE"])];
+    for (job, spec) in &jobs.accepted {
+        let class = format!("{:?}", spec.class).to_lowercase();
+        let shape = format!("{} x {}", spec.shape.parts, spec.shape.accelerators);
+        rows.push(row(&[job, &"accepted", &spec.workspace, &spec.kind, &class, &shape]));
+    }
+    for (job, outcome) in &jobs.ended {
+        let outcome = format!("{outcome:?}").to_lowercase();
+        rows.push(row(&[job, &outcome, &"", &"", &"", &""]));
+    }
+    table(&rows)
+}
+
+/// Shows the targets.
+pub fn targets(agents: &[Agent]) -> String {
+    let mut rows = vec![row(&[&"NODE", &"JUDGEMENT", &"VERSION", &"REQUESTS", &"PARTS"])];
+    for agent in agents {
+        let judgement = agent.judgement.to_lowercase();
+        rows.push(row(&[&agent.node, &judgement, &agent.version, &agent.running, &agent.tasks]));
+    }
+    table(&rows)
+}
+
+/// Returns the guarantees of all workspaces, and the jobs that claim them.
+pub fn claims(config: &Config) -> Vec<Claims> {
+    let mut claims = Vec::new();
+    for (workspace, quota) in &config.workspaces {
+        let claimed = |(_, spec): &(&Job, &Spec)| spec.claim && spec.workspace == *workspace;
+        let shown = |guarantee| serde_json::to_string(guarantee).unwrap_or_default();
+        claims.push(Claims {
+            workspace: workspace.clone(),
+            guarantees: quota.guarantees.iter().map(shown).collect(),
+            claimed_by: config.jobs.iter().filter(claimed).map(|(&job, _)| job).collect(),
+        });
+    }
+    claims
+}
+
+/// Shows the guarantees and claims.
+pub fn claim_table(claims: &[Claims]) -> String {
+    let mut rows = vec![row(&[&"WORKSPACE", &"CLAIMED BY", &"GUARANTEES"])];
+    for claim in claims {
+        let jobs: Vec<String> = claim.claimed_by.iter().map(ToString::to_string).collect();
+        rows.push(row(&[&claim.workspace, &jobs.join(","), &claim.guarantees.join(" ")]));
+    }
+    table(&rows)
+}
+
+/// Returns what is known of a job.
+pub fn explain(status: &Status, job: Job) -> Option<Explained> {
+    let outcome = status.ended.iter().find(|(ended, _)| *ended == job).map(|(_, how)| *how);
+    let spec = status.config.jobs.get(&job).cloned();
+    if outcome.is_none() && spec.is_none() {
+        return None;
+    }
+    Some(Explained { job, outcome, spec, zones: status.zones.clone() })
+}
+
+/// Shows what is known of a job.
+pub fn explained(explained: &Explained) -> String {
+    let job = explained.job;
+    if let Some(outcome) = explained.outcome {
+        return format!("job {job} has ended: {}\n", format!("{outcome:?}").to_lowercase());
+    }
+    let Some(spec) = &explained.spec else {
+        return format!("job {job} is not known\n");
+    };
+    let shape = spec.shape;
+    let mut text = format!(
+        "job {job} of {} is accepted and needs {} parts with {} accelerators each\n",
+        spec.workspace, shape.parts, shape.accelerators
+    );
+    for (zone, summary) in &explained.zones {
+        let (free, waiting) = (summary.free, summary.waiting);
+        let _ = writeln!(text, "  zone {zone}: {free} accelerators free, {waiting} jobs waiting");
+    }
+    text
+}
+
+/// Returns the help of a command, or of all.
+pub fn help(command: Option<&str>) -> &'static str {
+    match command {
+        Some("plan") => PLAN_HELP,
+        Some("confirm") => CONFIRM_HELP,
+        Some("apply") => APPLY_HELP,
+        Some("status" | "jobs" | "targets" | "claims") => SHOW_HELP,
+        Some("explain") => EXPLAIN_HELP,
+        Some("drain" | "undrain") => DRAIN_HELP,
+        Some("cancel") => CANCEL_HELP,
+        _ => HELP,
+    }
+}
+
+const HELP: &str = "persimmonctl [OPTIONS] COMMAND
+
+Commands that state an intent; nothing changes until its plan is confirmed:
+  plan FILE       makes a plan of the changes in a file
+  confirm PLAN    confirms a plan by its id, or by the file that plan --out wrote
+  apply DIR       plans what brings the system to what the files of a directory declare
+  drain NODE      plans that a node finishes its work and takes nothing new
+  undrain NODE    plans that a drain is taken back
+  cancel JOB...   plans that jobs are cancelled
+
+Commands that show:
+  status          version in force, zones, targets that are behind
+  jobs            jobs accepted, and jobs ended lately
+  explain JOB     what a job does, or what it waits for
+  targets         targets with their judgement and load
+  claims          guarantees, and the jobs that claim them
+
+Options:
+  --entry ADDRESS    operators' address of an entry; several are tried in turn
+  --settings FILE    settings with entries, token_file and timeout
+  --token-file FILE  file with the operator's token
+  --confirm          confirms a plan as soon as it is made
+  --out FILE         writes the plan to a file
+  --json             prints JSON in place of tables
+  --help             prints this, or the help of a command
+
+Environment: PERSIMMON_ENTRIES (addresses, separated by commas), PERSIMMON_TOKEN
+
+Exit codes:
+  0  done, or nothing to do
+  1  no entry answered: nothing was accepted
+  2  arguments, a file or settings are wrong
+  3  refused; the message says why
+  4  the configuration changed since the plan was made: plan again
+  5  not known whether the plan was accepted: confirm the same plan again
+  6  a plan was made and waits to be confirmed
+";
+const PLAN_HELP: &str = "persimmonctl plan FILE [--out PLANFILE] [--confirm]
+
+Makes a plan of the changes in a file and prints what it would bring about. Exit code 6.
+The file is TOML, or JSON if its name ends in .json (a list of the same changes):
+
+  [[change]]
+  put_service = { service = \"taller-app\", serving = { timeout_ms = 5000 } }
+
+  [[change]]
+  [change.submit]
+  job = 1
+  [change.submit.spec]
+  workspace = \"studio\"
+  kind = \"render\"
+  class = \"interactive\"
+  eviction = \"checkpoint\"
+  run_ms = 60000
+  shape = { parts = 2, accelerators = 8, adjacency = \"rack\" }
+
+Other changes: put_workspace, remove_workspace, drain, undrain, cancel.
+";
+const CONFIRM_HELP: &str = "persimmonctl confirm PLAN
+
+Confirms a plan by its id, or by the file that plan --out wrote. With the file it can be
+confirmed at any entry. Confirming twice changes nothing the second time.
+";
+const APPLY_HELP: &str = "persimmonctl apply DIR [--confirm]
+
+Reads the .toml files of a directory, compares them with what is in force, and plans the
+difference. Exit code 0 if there is none, 6 if a plan waits to be confirmed. In the CI of a
+settings repository: without --confirm on a proposal, with --confirm on the main branch.
+";
+const SHOW_HELP: &str = "persimmonctl status | jobs | targets | claims [--json]
+
+Shows the state as the entries see it. All entries that are named are asked for the zones that
+they plan.
+";
+const EXPLAIN_HELP: &str = "persimmonctl explain JOB [--json]
+
+Shows what a job does or how it ended, or what it waits for.
+";
+const DRAIN_HELP: &str = "persimmonctl drain NODE | undrain NODE [--confirm]
+
+Plans that the agent NODE takes nothing new and finishes what runs, or that it takes new work
+again. `persimmonctl targets` shows when nothing runs there any more.
+";
+const CANCEL_HELP: &str = "persimmonctl cancel JOB... [--confirm]
+
+Plans that jobs are cancelled, running or not. Cancelling twice changes nothing.
+";
--- /dev/null
+++ b/persimmonctl/tests/command_line.rs
@@ -0,0 +1,208 @@
+//! The operators' command line against a running system.
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Duration;
+use std::{env, fs};
+
+use persimmon_load::bench::{Bench, Layout, TOKEN};
+use persimmondrift::unit::Region;
+use standin::fault::Fault;
+
+const POLL: Duration = Duration::from_millis(50);
+const TRIES: usize = 400;
+const INTENT: &str = "
+[[change]]
+put_service = { service = \"taller-app\", serving = { timeout_ms = 5000 } }
+
+[[change]]
+put_workspace = { workspace = \"studio\", quota = { weight = 1 } }
+
+[[change]]
+[change.submit]
+job = 7
+[change.submit.spec]
+workspace = \"studio\"
+kind = \"render\"
+class = \"interactive\"
+eviction = \"checkpoint\"
+run_ms = 1000
+shape = { parts = 2, accelerators = 8, adjacency = \"rack\" }
+";
+
+/// A running system, and a directory for the files of a test.
+struct Site {
+    bench: Bench,
+    directory: PathBuf,
+    token: PathBuf,
+}
+
+/// What a command left behind.
+#[derive(Debug)]
+struct Ran {
+    code: u8,
+    out: String,
+    errors: String,
+}
+
+fn site(name: &str) -> Site {
+    let layout = Layout {
+        service: "taller-app".parse().expect("valid"),
+        regions: vec![Region::try_from("sac-a").expect("valid")],
+        entries: 2,
+        workers: 3,
+        service_time: Duration::from_millis(1),
+    };
+    let bench = Bench::start(&layout).expect("started");
+    let directory = env::temp_dir().join(format!("persimmonctl-{name}-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("created");
+    let token = directory.join("token");
+    fs::write(&token, TOKEN).expect("written");
+    Site { bench, directory, token }
+}
+
+impl Site {
+    fn file(&self, name: &str, text: &str) -> String {
+        let file = self.directory.join(name);
+        fs::create_dir_all(file.parent().expect("a parent")).expect("created");
+        fs::write(&file, text).expect("written");
+        file.display().to_string()
+    }
+
+    fn run(&self, words: &[&str]) -> Ran {
+        let mut arguments = vec!["--token-file".into(), self.token.clone().into_os_string()];
+        for entry in &self.bench.entries {
+            arguments.push("--entry".into());
+            arguments.push(entry.operators().to_string().into());
+        }
+        arguments.extend(words.iter().map(OsString::from));
+        run(arguments)
+    }
+
+    fn wait(&self, words: &[&str], found: impl Fn(&str) -> bool) -> String {
+        for _ in 0..TRIES {
+            let ran = self.run(words);
+            if ran.code == 0 && found(&ran.out) {
+                return ran.out;
+            }
+            thread::sleep(POLL);
+        }
+        panic!("{words:?} never showed what was awaited: {:?}", self.run(words));
+    }
+
+    fn end(self) {
+        self.bench.stop();
+        fs::remove_dir_all(self.directory).expect("removed");
+    }
+}
+
+fn run(arguments: Vec<OsString>) -> Ran {
+    let (mut out, mut errors) = (Vec::new(), Vec::new());
+    let code = persimmonctl::run(arguments, &mut out, &mut errors);
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    Ran { code, out: text(out), errors: text(errors) }
+}
+
+fn plan_id(out: &str) -> String {
+    let (_, rest) = out.split_once("confirm with: persimmonctl confirm ").expect("a plan");
+    rest.trim().to_owned()
+}
+
+#[test]
+fn intents_are_planned_and_confirmed() {
+    let site = site("plan");
+    site.wait(&["targets"], |out| out.matches("alive").count() == 3);
+    let file = site.file("intent.toml", INTENT);
+    let draft = site.directory.join("draft.json").display().to_string();
+    let planned = site.run(&["plan", &file, "--out", &draft]);
+    assert_eq!(planned.code, 6, "{planned:?}");
+    assert!(site.run(&["status"]).out.starts_with("version 0,"), "a plan changes nothing");
+    let confirmed = site.run(&["confirm", &draft]);
+    assert_eq!((confirmed.code, confirmed.out.contains("version 1")), (0, true), "{confirmed:?}");
+    let again = site.run(&["confirm", &plan_id(&planned.out)]);
+    assert_eq!((again.code, again.out.contains("version 1")), (0, true), "{again:?}");
+    site.wait(&["jobs"], |out| out.contains("finished"));
+    let explained = site.run(&["explain", "7"]);
+    assert!(explained.out.contains("finished"), "{explained:?}");
+    let drained = site.run(&["drain", "taller-app-00", "--confirm", "--json"]);
+    assert_eq!(drained.code, 0, "{drained:?}");
+    site.wait(&["status"], |out| out.contains("1 drained"));
+    let claims = site.run(&["claims"]);
+    assert_eq!((claims.code, claims.out.contains("studio")), (0, true), "{claims:?}");
+    site.end();
+}
+
+#[test]
+fn declarations_are_applied() {
+    let site = site("apply");
+    site.file("declared/services.toml", "[services.taller-app]\ntimeout_ms = 4000\n");
+    let declared = site.directory.join("declared").display().to_string();
+    let proposed = site.run(&["apply", &declared]);
+    assert_eq!(proposed.code, 6, "{proposed:?}");
+    let applied = site.run(&["apply", &declared, "--confirm"]);
+    assert_eq!(applied.code, 0, "{applied:?}");
+    let same = site.wait(&["apply", &declared], |out| out.contains("in force"));
+    assert_eq!(same, "what is declared is in force\n");
+    site.end();
+}
+
+#[test]
+fn failures_have_codes() {
+    let site = site("codes");
+    let file = site.file("intent.toml", INTENT);
+    let wrong = site.file("wrong.toml", "[[change]]\ndrian = { node = \"a\" }\n");
+    // Arguments, exit code, what the message tells to do.
+    let cases: [(&[&str], u8, &str); 8] = [
+        (&["drian", "a"], 2, "--help"),
+        (&["plan"], 2, "needs one file"),
+        (&["plan", "/nonexistent/file.toml"], 2, "cannot be read"),
+        (&["plan", &wrong], 2, "line 2"),
+        (&["explain", "99"], 3, "persimmonctl jobs"),
+        (&["explain", "x"], 2, "number of a job"),
+        (&["confirm", "12345"], 3, "make the plan again"),
+        (&["cancel"], 2, "number of a job"),
+    ];
+    for (words, code, said) in cases {
+        let ran = site.run(words);
+        assert_eq!((ran.code, ran.errors.contains(said)), (code, true), "{words:?}: {ran:?}");
+    }
+    let first = plan_id(&site.run(&["plan", &file]).out);
+    let second = plan_id(&site.run(&["plan", &file]).out);
+    assert_eq!(site.run(&["confirm", &first]).code, 0);
+    let conflict = site.run(&["confirm", &second]);
+    assert_eq!((conflict.code, conflict.errors.contains("plan again")), (4, true), "{conflict:?}");
+    let drain = plan_id(&site.run(&["drain", "taller-app-01"]).out);
+    site.bench.table.switch.set(Some(Fault::Refuse));
+    let unknown = site.run(&["confirm", &drain]);
+    assert_eq!(unknown.code, 5, "{unknown:?}");
+    site.bench.table.switch.set(None);
+    assert_eq!(site.run(&["confirm", &drain]).code, 0, "the same plan is confirmed later");
+    site.end();
+}
+
+#[test]
+fn absent_entries_and_wrong_tokens_are_told() {
+    let site = site("absent");
+    let none = ["--entry", "127.0.0.1:1", "--token-file", "TOKEN", "status"];
+    let token = site.token.display().to_string();
+    let words: Vec<OsString> =
+        none.iter().map(|word| word.replace("TOKEN", &token).into()).collect();
+    let ran = run(words);
+    assert_eq!((ran.code, ran.errors.contains("no entry answered")), (1, true), "{ran:?}");
+    fs::write(&site.token, "another-token").expect("written");
+    let ran = site.run(&["status"]);
+    assert_eq!((ran.code, ran.errors.contains("token of an operator")), (3, true), "{ran:?}");
+    assert_eq!(run(vec!["status".into()]).code, 2);
+    assert_eq!(run(vec!["--help".into()]).code, 0);
+    site.end();
+}
+
+#[test]
+fn example_settings_are_read() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../settings/ctl.toml");
+    let words = ["--settings", &file.display().to_string(), "status"].map(OsString::from);
+    let ran = run(words.into());
+    // The file names entries, but a token has to come from the operator.
+    assert_eq!((ran.code, ran.errors.contains("no token")), (2, true), "{ran:?}");
+}
--- a/standin/src/table.rs
+++ b/standin/src/table.rs
@@ -32,11 +32,19 @@
     ///
     /// Returns the error of the socket.
     pub fn start() -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts a table service without rows at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start_at(listen: SocketAddr) -> std::io::Result<Self> {
         let rows = Arc::new(Mutex::new(Rows::new()));
         let switch = Switch::default();
         let (shared, faults) = (Arc::clone(&rows), switch.clone());
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let http = Http::start(any, THREADS, move |request| {
+        let http = Http::start(listen, THREADS, move |request| {
             faults.apply(|| answer(&shared, request).unwrap_or_else(|error| malformed(&error)))
         })?;
         Ok(Self { switch, http, rows })
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -29,11 +29,19 @@
     ///
     /// Returns the error of the socket.
     pub fn start(service_time: Duration) -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), service_time)
+    }
+
+    /// Starts a target whose requests take some time at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start_at(listen: SocketAddr, service_time: Duration) -> std::io::Result<Self> {
         let ran = Arc::new(Mutex::new(BTreeMap::new()));
         let switch = Switch::default();
         let (shared, faults) = (Arc::clone(&ran), switch.clone());
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let http = Http::start(any, THREADS, move |request| {
+        let http = Http::start(listen, THREADS, move |request| {
             faults.apply(|| answer(&shared, request, service_time))
         })?;
         Ok(Self { switch, http, ran })
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -54,11 +54,19 @@
     ///
     /// Returns the error of the socket.
     pub fn start() -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts a worker without parts at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start_at(listen: SocketAddr) -> std::io::Result<Self> {
         let runs = Arc::new(Mutex::new(Runs::new()));
         let switch = Switch::default();
         let (shared, faults) = (Arc::clone(&runs), switch.clone());
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let http = Http::start(any, THREADS, move |request| {
+        let http = Http::start(listen, THREADS, move |request| {
             faults.apply(|| {
                 answer(&mut lock(&shared), request).unwrap_or_else(|error| malformed(&error))
             })
