--- a/persimmonctl/src/command.rs
+++ b/persimmonctl/src/command.rs
@@ -90,10 +90,13 @@
         fs::write(file, text).map_err(|error| Error::File(file.clone(), error))?;
     }
     print(request, out, &draft, || show::draft(&draft))?;
-    if !request.confirm {
-        return Ok(Exit::Pending);
+    if request.confirm {
+        return accept(request, client, &draft, out);
     }
-    accept(request, client, &draft, out)
+    if !request.json {
+        put(out, show::pending(draft.plan))?;
+    }
+    Ok(Exit::Pending)
 }
 
 fn confirm(
--- a/persimmonctl/src/show.rs
+++ b/persimmonctl/src/show.rs
@@ -69,7 +69,12 @@
     for effect in &draft.effects {
         let _ = writeln!(text, "  {effect}");
     }
-    text + &format!("nothing has changed yet; confirm with: persimmonctl confirm {}\n", draft.plan)
+    text
+}
+
+/// Shows what to do with a plan that waits to be confirmed.
+pub fn pending(plan: Plan) -> String {
+    format!("nothing has changed yet; confirm with: persimmonctl confirm {plan}\n")
 }
 
 /// Shows that a plan was confirmed.
--- a/persimmondrift/tests/event_catalogue.rs
+++ b/persimmondrift/tests/event_catalogue.rs
@@ -1,6 +1,8 @@
 //! The catalogue of events and the code name the same events.
 
 use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
 
 use persimmondrift::event::ALL;
 
@@ -21,6 +23,30 @@
     events
 }
 
+/// Returns the text of all source files below a directory.
+fn sources(directory: &Path) -> String {
+    let mut text = String::new();
+    for file in fs::read_dir(directory).expect("a directory") {
+        let file = file.expect("a file").path();
+        if file.is_dir() {
+            text.push_str(&sources(&file));
+        } else {
+            text.push_str(&fs::read_to_string(&file).expect("text"));
+        }
+    }
+    text
+}
+
+#[test]
+fn events_are_used() {
+    let text = sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"));
+    let text: String = text.split_whitespace().collect();
+    for event in ALL {
+        let logged = ["log", "warn"].map(|level| format!("crate::{level}!({event:?},"));
+        assert!(logged.iter().any(|call| text.contains(call)), "{event:?} is never logged");
+    }
+}
+
 #[test]
 fn catalogue_matches_code() {
     let coded: BTreeMap<u16, String> =
