--- a/persimmon-load/src/demo.rs
+++ b/persimmon-load/src/demo.rs
@@ -8,6 +8,7 @@
 use persimmondrift::adapter::operator::{Status, Told};
 use persimmondrift::config::{Change, Quota, Serving};
 use persimmondrift::entry;
+use persimmondrift::guarantee::Guarantee;
 use persimmondrift::place::{Adjacency, Class, Eviction, Outcome, Shape, Spec};
 use persimmondrift::unit::{Accelerators, Cores, Job, Mebibytes, Millis, Region, Version};
 use standin::caller::Caller;
@@ -74,7 +75,11 @@
     let changes = vec![
         Change::PutWorkspace {
             workspace: "studio".parse()?,
-            quota: Quota { guarantees: vec![shape], weight: 1 },
+            quota: Quota {
+                guarantees: vec![Guarantee { shape, zone: None }],
+                weight: 1,
+                limit: None,
+            },
         },
         Change::PutService {
             service: "taller-app".parse()?,
--- a/persimmondrift/src/config.rs
+++ b/persimmondrift/src/config.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::guarantee::Guarantee;
 use crate::place;
-use crate::unit::{Job, Mutation, Node, Operator, Plan, Service, Version, Workspace};
+use crate::unit::{Accelerators, Job, Mutation, Node, Operator, Plan, Service, Version, Workspace};
 
 /// What a workspace is promised.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -13,10 +14,13 @@
 pub struct Quota {
     /// Shapes that it gets whenever it claims them.
     #[serde(default)]
-    pub guarantees: Vec<place::Shape>,
+    pub guarantees: Vec<Guarantee>,
     /// Its weight in the share of what is free, 1 if unstated.
     #[serde(default = "one")]
     pub weight: u32,
+    /// Accelerators that it may hold at most, claims excepted; all if unstated.
+    #[serde(default)]
+    pub limit: Option<Accelerators>,
 }
 
 fn one() -> u32 {
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -6,10 +6,11 @@
 use super::role::{self, Role};
 use super::table::Order;
 use crate::config::{Change, Config, Record};
-use crate::gang::Report;
-use crate::intent::{Draft, Supply};
+use crate::gang::{Holding, Report};
+use crate::guarantee::Supply;
+use crate::intent::Draft;
 use crate::member::{self, ANNOUNCE_EVERY, Announce, Place, Presence, State, View};
-use crate::place::Outcome;
+use crate::place::{Eviction, Host, Outcome};
 use crate::settings;
 use crate::unit::{Epoch, Job, Node, Plan, Time, Version, Zone};
 use crate::wire::{Body, Frame};
@@ -128,7 +129,7 @@
                     self.ended.truncate(ENDED);
                 }
                 for role in self.roles.values_mut() {
-                    effects.extend(role.change(now, change));
+                    effects.extend(role.change(now, change, &self.config));
                 }
             }
             self.records.push_back(record);
@@ -146,6 +147,7 @@
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
             role.put_worker(node, &member.said);
         }
+        role.configure(&self.config);
         for (&job, spec) in &self.config.jobs {
             role.submit(now, job, spec);
         }
@@ -183,17 +185,31 @@
         }
     }
 
-    /// Returns the accelerators of healthy workers.
+    /// Returns the healthy workers of each zone.
     pub fn supply(&self) -> Supply {
         let mut supply = Supply::default();
-        for (_, member) in self.agents.alive() {
-            let accelerators = member.said.capacity.accelerators;
-            supply.accelerators += accelerators;
-            supply.largest = supply.largest.max(accelerators);
+        for (node, member) in self.agents.alive() {
+            let said = &member.said;
+            let host = Host {
+                node: node.clone(),
+                rack: said.place.rack.clone(),
+                capacity: said.capacity,
+                firm: self.firm(&said.tasks),
+            };
+            supply.zones.entry(said.place.zone.clone()).or_default().push(host);
         }
         supply
     }
 
+    /// Returns the accelerators held by jobs that cannot be evicted.
+    fn firm(&self, tasks: &[Holding]) -> u64 {
+        let never = |task: &&Holding| {
+            let spec = self.config.jobs.get(&task.task.job);
+            spec.is_some_and(|spec| spec.eviction == Eviction::Never && !spec.claim)
+        };
+        tasks.iter().filter(never).fold(0, |mask, task| mask | task.mask)
+    }
+
     fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
         let Some(member) = self.agents.get(node) else {
             return Vec::new();
@@ -228,7 +244,12 @@
                         asked.extend(role.lost(now, &node));
                     }
                 }
-                member::Effect::Suspected(_) | member::Effect::Recovered(_) => {}
+                member::Effect::Suspected(node) => {
+                    for role in self.roles.values_mut() {
+                        role.suspected(&node);
+                    }
+                }
+                member::Effect::Recovered(_) => {}
             }
         }
         self.carry_out(asked)
--- a/persimmondrift/src/entry/operate.rs
+++ b/persimmondrift/src/entry/operate.rs
@@ -23,7 +23,7 @@
 fn plan(shared: &Shared, changes: Vec<Change>) -> Result<Told, Refusal> {
     let plan = Plan(shared.random().u64(1..));
     let mut core = shared.core();
-    let draft = intent::plan(&core.config, core.supply(), plan, changes)?;
+    let draft = intent::plan(&core.config, &core.supply(), plan, changes)?;
     core.keep(draft.clone());
     crate::log!(Planned, "plan {plan} from version {}", draft.base);
     Ok(Told::Planned(draft))
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -4,10 +4,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::config::Change;
+use crate::config::{Change, Config};
 use crate::gang::{self, Command, Coordinator, Ending, Report, Term};
+use crate::guarantee;
+use crate::health::Verdict;
 use crate::member::{Announce, State};
-use crate::place::{self, Outcome, Planner, Spec, Summary};
+use crate::place::{self, Outcome, Planner, Share, Spec, Summary};
 use crate::unit::{Attempt, Epoch, Job, Node, Time, Zone};
 
 /// Names one attempt of a job.
@@ -54,7 +56,6 @@
     planner: Planner,
     coordinator: Coordinator,
     specs: BTreeMap<Job, Spec>,
-    cancelled: Vec<Job>,
 }
 
 /// Returns whether a zone's role falls to an entry: the highest hash among the live ones.
@@ -78,7 +79,6 @@
             term,
             planner: Planner::default(),
             specs: BTreeMap::new(),
-            cancelled: Vec::new(),
         }
     }
 
@@ -92,6 +92,17 @@
     pub fn put_worker(&mut self, node: &Node, said: &Announce) {
         let open = said.state == State::Serving;
         self.planner.put_worker(node, &said.place.rack, said.capacity, open);
+        self.planner.put_holdings(node, &said.tasks);
+    }
+
+    /// Takes in the guarantees and shares of a configuration.
+    pub fn configure(&mut self, config: &Config) {
+        self.planner.set_guarantees(guarantee::promises(config, &self.term.zone));
+        self.planner.clear_shares();
+        for (workspace, quota) in &config.workspaces {
+            let share = Share { weight: quota.weight, limit: quota.limit };
+            self.planner.set_share(workspace.clone(), share);
+        }
     }
 
     /// Takes in a job, if it may run in this zone.
@@ -103,7 +114,7 @@
     }
 
     /// Takes in an accepted change.
-    pub fn change(&mut self, now: Time, change: &Change) -> Vec<Effect> {
+    pub fn change(&mut self, now: Time, change: &Change, config: &Config) -> Vec<Effect> {
         match change {
             Change::Submit { job, spec } => {
                 self.submit(now, *job, spec);
@@ -111,36 +122,41 @@
             }
             Change::Cancel { job } => {
                 let decisions = self.planner.cancel(*job);
-                if decisions.is_empty() {
-                    self.specs.remove(job);
-                } else {
-                    self.cancelled.push(*job);
-                }
+                self.forget_ended(*job);
                 self.decide(now, decisions)
             }
+            Change::PutWorkspace { .. } | Change::RemoveWorkspace { .. } => {
+                self.configure(config);
+                Vec::new()
+            }
             _ => Vec::new(),
         }
     }
 
+    /// Takes in that a worker has fallen silent: it gets nothing new.
+    pub fn suspected(&mut self, node: &Node) {
+        self.planner.close_worker(node);
+    }
+
     /// Takes in that a worker is lost.
     pub fn lost(&mut self, now: Time, node: &Node) -> Vec<Effect> {
-        let decisions = self.planner.remove_worker(node);
+        let decisions = self.planner.remove_worker(now, node);
         let mut effects = self.decide(now, decisions);
         let asked = self.coordinator.lost(now, node);
-        effects.extend(self.drive(asked));
+        effects.extend(self.drive(now, asked));
         effects
     }
 
     /// Takes in what an agent reports of a part.
     pub fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
         let asked = self.coordinator.report(now, node, report);
-        self.drive(asked)
+        self.drive(now, asked)
     }
 
     /// Takes in whether an attempt was written to the table.
     pub fn recorded(&mut self, now: Time, task: Try, written: bool) -> Vec<Effect> {
         let asked = self.coordinator.recorded(now, task.job, task.attempt, written);
-        self.drive(asked)
+        self.drive(now, asked)
     }
 
     /// Starts what fits, and drives the attempts.
@@ -148,7 +164,7 @@
         let decisions = self.planner.step(now);
         let mut effects = self.decide(now, decisions);
         let asked = self.coordinator.tick(now);
-        effects.extend(self.drive(asked));
+        effects.extend(self.drive(now, asked));
         effects
     }
 
@@ -174,12 +190,20 @@
                     crate::log!(AttemptStopped, "job {job} attempt {attempt}: {cause:?}");
                     asked.extend(self.coordinator.stop(now, job, attempt));
                 }
+                place::Effect::AtRisk { workspace, shape } => {
+                    crate::warn!(GuaranteeAtRisk, "{workspace}: {shape}, {}", self.term.zone);
+                }
+                place::Effect::Restored { workspace, shape } => {
+                    crate::log!(GuaranteeRestored, "{workspace}: {shape}, {}", self.term.zone);
+                }
+                place::Effect::Quarantined { node } => crate::warn!(Quarantined, "{node}"),
+                place::Effect::TakenBack { node } => crate::log!(TakenBack, "{node}"),
             }
         }
-        self.drive(asked)
+        self.drive(now, asked)
     }
 
-    fn drive(&mut self, asked: Vec<gang::Effect>) -> Vec<Effect> {
+    fn drive(&mut self, now: Time, asked: Vec<gang::Effect>) -> Vec<Effect> {
         let mut effects = Vec::new();
         for effect in asked {
             match effect {
@@ -193,31 +217,39 @@
                 }),
                 gang::Effect::Over { job, attempt, ending } => {
                     crate::log!(AttemptOver, "job {job} attempt {attempt}: {ending:?}");
-                    effects.extend(self.over(job, attempt, &ending));
+                    effects.extend(self.over(now, job, attempt, &ending));
                 }
             }
         }
         effects
     }
 
-    fn over(&mut self, job: Job, attempt: Attempt, ending: &Ending) -> Option<Effect> {
-        let outcome = match ending {
-            Ending::Finished => Outcome::Finished,
-            Ending::Failed(_) => Outcome::Failed,
+    fn over(&mut self, now: Time, job: Job, attempt: Attempt, ending: &Ending) -> Vec<Effect> {
+        let (outcome, decisions) = match ending {
+            Ending::Finished => {
+                (Some(Outcome::Finished), self.planner.ended(now, job, Outcome::Finished))
+            }
+            Ending::Failed(node) => {
+                let (verdict, decisions) = self.planner.failed(now, job, attempt, node);
+                ((verdict == Verdict::AtFault).then_some(Outcome::Failed), decisions)
+            }
             Ending::Stopped => {
-                if let Some(index) = self.cancelled.iter().position(|&other| other == job) {
-                    self.cancelled.swap_remove(index);
-                    self.planner.ended(job);
-                    self.specs.remove(&job);
-                } else {
-                    self.planner.released(job, attempt);
-                }
-                return None;
+                self.planner.released(now, job, attempt);
+                (None, Vec::new())
             }
         };
-        self.planner.ended(job);
-        self.specs.remove(&job);
-        crate::log!(JobEnded, "job {job}: {outcome:?}");
-        Some(Effect::End { job, outcome })
+        self.forget_ended(job);
+        let mut effects = self.decide(now, decisions);
+        if let Some(outcome) = outcome {
+            crate::log!(JobEnded, "job {job}: {outcome:?}");
+            effects.push(Effect::End { job, outcome });
+        }
+        effects
+    }
+
+    fn forget_ended(&mut self, job: Job) {
+        if !self.planner.knows(job) {
+            self.specs.remove(&job);
+        }
     }
 }
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -50,6 +50,14 @@
     AttemptOver = 403,
     /// A job has ended.
     JobEnded = 404,
+    /// A guaranteed shape has no place on healthy workers.
+    GuaranteeAtRisk = 405,
+    /// A guaranteed shape has a place again.
+    GuaranteeRestored = 406,
+    /// A worker that fails what it starts gets no work for a while.
+    Quarantined = 407,
+    /// A quarantined worker is used again.
+    TakenBack = 408,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
--- /dev/null
+++ b/persimmondrift/src/guarantee.rs
@@ -0,0 +1,285 @@
+//! The check of intents against guarantees: each gets a zone, and all must fit at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Change, Config, Quota};
+use crate::place::{self, Eviction, Host, Promise, Shape, Spec};
+use crate::unit::{Accelerators, Job, Workspace, Zone};
+
+/// A shape that a workspace gets whenever it claims it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Guarantee {
+    /// The shape.
+    pub shape: Shape,
+    /// The availability zone in which it is kept; chosen by the plan if unstated.
+    #[serde(default)]
+    pub zone: Option<Zone>,
+}
+
+/// The healthy workers of each availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Supply {
+    /// The workers by zone.
+    pub zones: BTreeMap<Zone, Vec<Host>>,
+}
+
+/// Why an intent is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "snake_case")]
+pub enum Error {
+    /// The zone has no healthy workers.
+    #[error("zone {0} has no healthy workers")]
+    NoWorkers(Zone),
+    /// The shape has no parts.
+    #[error("a shape needs at least one part")]
+    NoParts,
+    /// No zone can hold the shape, even when nothing runs.
+    #[error("{shape}: no zone holds it, even when nothing runs")]
+    Impossible {
+        /// The shape.
+        shape: Shape,
+    },
+    /// The job cannot be evicted and does not fit beside the guarantees.
+    #[error("{shape}: a job that cannot be evicted does not fit beside the guarantees")]
+    Kept {
+        /// The shape.
+        shape: Shape,
+    },
+    /// A guarantee would not fit beside the others.
+    #[error("{shape} guaranteed to {workspace} would not fit in zone {zone}")]
+    Unfit {
+        /// The workspace.
+        workspace: Workspace,
+        /// The shape.
+        shape: Shape,
+        /// The zone.
+        zone: Zone,
+    },
+}
+
+/// Returns the guarantees that a configuration keeps in a zone.
+#[must_use]
+pub fn promises(config: &Config, zone: &Zone) -> Vec<Promise> {
+    let mut promises = Vec::new();
+    for (workspace, quota) in &config.workspaces {
+        for guarantee in quota.guarantees.iter().filter(|g| g.zone.as_ref() == Some(zone)) {
+            promises.push(Promise { workspace: workspace.clone(), shape: guarantee.shape });
+        }
+    }
+    promises
+}
+
+/// Completes a change: guarantees and jobs without a zone get one.
+///
+/// # Errors
+///
+/// Returns [`Error`] if a shape fits nowhere.
+pub fn bind(config: &Config, supply: &Supply, change: Change) -> Result<Change, Error> {
+    match change {
+        Change::PutWorkspace { workspace, quota } => {
+            let quota = bind_quota(config, supply, &workspace, quota)?;
+            Ok(Change::PutWorkspace { workspace, quota })
+        }
+        Change::Submit { job, mut spec } => {
+            spec.zone = Some(zone_of_job(config, supply, job, &spec)?);
+            Ok(Change::Submit { job, spec })
+        }
+        other => Ok(other),
+    }
+}
+
+/// Checks that changes break no guarantee that could be kept before.
+///
+/// # Errors
+///
+/// Returns [`Error::Unfit`] with the guarantee that would have no place.
+pub fn check(
+    before: &Config,
+    after: &Config,
+    supply: &Supply,
+    changes: &[Change],
+) -> Result<(), Error> {
+    for zone in touched(supply, changes) {
+        let Err(place::Unfit(promise)) = fit(after, supply, &zone, &[]) else {
+            continue;
+        };
+        let new = !promises(before, &zone).contains(&promise);
+        if new || fit(before, supply, &zone, &[]).is_ok() {
+            let Promise { workspace, shape } = promise;
+            return Err(Error::Unfit { workspace, shape, zone });
+        }
+    }
+    Ok(())
+}
+
+/// Returns the zones whose guarantees changes may break.
+fn touched(supply: &Supply, changes: &[Change]) -> BTreeSet<Zone> {
+    let mut zones = BTreeSet::new();
+    for change in changes {
+        match change {
+            Change::PutWorkspace { quota, .. } => {
+                zones.extend(quota.guarantees.iter().filter_map(|g| g.zone.clone()));
+            }
+            Change::Drain { node } => {
+                for (zone, hosts) in &supply.zones {
+                    if hosts.iter().any(|host| host.node == *node) {
+                        zones.insert(zone.clone());
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    zones
+}
+
+fn bind_quota(
+    config: &Config,
+    supply: &Supply,
+    workspace: &Workspace,
+    quota: Quota,
+) -> Result<Quota, Error> {
+    let mut held = config.workspaces.get(workspace).map_or(Vec::new(), |q| q.guarantees.clone());
+    let mut after = config.clone();
+    let mut bound = Quota { guarantees: Vec::new(), ..quota.clone() };
+    for mut guarantee in quota.guarantees {
+        if guarantee.shape.parts == 0 {
+            return Err(Error::NoParts);
+        }
+        let same = |other: &Guarantee| {
+            other.shape == guarantee.shape
+                && (guarantee.zone.is_none() || guarantee.zone == other.zone)
+        };
+        if let Some(index) = held.iter().position(same) {
+            bound.guarantees.push(held.swap_remove(index));
+            continue;
+        }
+        after.workspaces.insert(workspace.clone(), bound.clone());
+        if guarantee.zone.is_none() {
+            let zone = zone_of_guarantee(&after, supply, workspace, guarantee.shape)?;
+            guarantee.zone = Some(zone);
+        }
+        if let Some(zone) = &guarantee.zone
+            && !supply.zones.contains_key(zone)
+        {
+            return Err(Error::NoWorkers(zone.clone()));
+        }
+        bound.guarantees.push(guarantee);
+    }
+    Ok(bound)
+}
+
+/// Chooses the zone with the most accelerators beside its guarantees, of those that can
+/// keep the shape too.
+fn zone_of_guarantee(
+    config: &Config,
+    supply: &Supply,
+    workspace: &Workspace,
+    shape: Shape,
+) -> Result<Zone, Error> {
+    let mut zones: Vec<(std::cmp::Reverse<u32>, &Zone)> = Vec::new();
+    for (zone, hosts) in &supply.zones {
+        let kept: u32 = promises(config, zone).iter().map(|p| p.shape.total().0).sum();
+        zones.push((std::cmp::Reverse(capacity(hosts).0.saturating_sub(kept)), zone));
+    }
+    zones.sort();
+    let promise = Promise { workspace: workspace.clone(), shape };
+    let fits = |zone: &Zone| fit(config, supply, zone, std::slice::from_ref(&promise)).is_ok();
+    if let Some((_, zone)) = zones.iter().find(|(_, zone)| fits(zone)) {
+        return Ok((*zone).clone());
+    }
+    match zones.first() {
+        Some((_, zone)) if holds_somewhere(supply, shape) => {
+            Err(Error::Unfit { workspace: workspace.clone(), shape, zone: (*zone).clone() })
+        }
+        _ => Err(Error::Impossible { shape }),
+    }
+}
+
+/// Chooses the zone of a job: that of its guarantee, or the least loaded that can hold it.
+fn zone_of_job(config: &Config, supply: &Supply, job: Job, spec: &Spec) -> Result<Zone, Error> {
+    let shape = spec.shape;
+    if shape.parts == 0 {
+        return Err(Error::NoParts);
+    }
+    let wanted = spec.zone.clone().or_else(|| guaranteed_zone(config, spec));
+    let mut zones: Vec<&Zone> = supply.zones.keys().collect();
+    if let Some(zone) = &wanted {
+        zones.retain(|other| *other == zone);
+        if zones.is_empty() {
+            return Err(Error::NoWorkers(zone.clone()));
+        }
+    }
+    zones.retain(|zone| holds(&supply.zones[*zone], shape));
+    if zones.is_empty() {
+        return Err(Error::Impossible { shape });
+    }
+    if spec.eviction == Eviction::Never && !spec.claim {
+        let promise = Promise { workspace: spec.workspace.clone(), shape };
+        zones.retain(|zone| fit(config, supply, zone, std::slice::from_ref(&promise)).is_ok());
+    }
+    let load = load(config, job);
+    let filling = |zone: &Zone| {
+        let load = u64::from(load.get(zone).copied().unwrap_or(0));
+        load * 1_000 / u64::from(capacity(&supply.zones[zone]).0.max(1))
+    };
+    let zone = zones.into_iter().min_by_key(|zone| (filling(zone), (*zone).clone()));
+    zone.cloned().ok_or(Error::Kept { shape })
+}
+
+/// Returns the zone of the guarantee that a claim is made on.
+fn guaranteed_zone(config: &Config, spec: &Spec) -> Option<Zone> {
+    if !spec.claim {
+        return None;
+    }
+    let guarantees = &config.workspaces.get(&spec.workspace)?.guarantees;
+    guarantees.iter().find(|g| g.shape.covers(&spec.shape))?.zone.clone()
+}
+
+/// Returns the accelerators that jobs need in each zone, one job left out.
+fn load(config: &Config, except: Job) -> BTreeMap<&Zone, u32> {
+    let mut load = BTreeMap::new();
+    for (_, spec) in config.jobs.iter().filter(|(job, _)| **job != except) {
+        if let Some(zone) = &spec.zone {
+            *load.entry(zone).or_default() += spec.shape.total().0;
+        }
+    }
+    load
+}
+
+fn capacity(hosts: &[Host]) -> Accelerators {
+    let mut sum = Accelerators(0);
+    for host in hosts {
+        sum += host.capacity.accelerators;
+    }
+    sum
+}
+
+fn holds_somewhere(supply: &Supply, shape: Shape) -> bool {
+    supply.zones.values().any(|hosts| holds(hosts, shape))
+}
+
+/// Returns whether workers hold a shape when nothing runs.
+fn holds(hosts: &[Host], shape: Shape) -> bool {
+    let empty: Vec<Host> = hosts.iter().map(|host| Host { firm: 0, ..host.clone() }).collect();
+    let nobody = Workspace::try_from("nobody").expect("the name is valid");
+    place::pack(&empty, &[Promise { workspace: nobody, shape }]).is_ok()
+}
+
+/// Checks that the guarantees of a zone fit at once, with some more.
+fn fit(
+    config: &Config,
+    supply: &Supply,
+    zone: &Zone,
+    more: &[Promise],
+) -> Result<(), place::Unfit> {
+    let mut promises = promises(config, zone);
+    promises.extend_from_slice(more);
+    let hosts = supply.zones.get(zone).map_or(&[][..], Vec::as_slice);
+    let open: Vec<Host> =
+        hosts.iter().filter(|host| !config.drained.contains(&host.node)).cloned().collect();
+    place::pack(&open, &promises)
+}
--- /dev/null
+++ b/persimmondrift/src/health.rs
@@ -0,0 +1,231 @@
+//! Which is at fault when an attempt fails: the job or the worker.
+//!
+//! A failure speaks against both. It counts against a job as far as its worker is known to
+//! do well with others, and against a worker as far as the job does not fail elsewhere too.
+//! When one of them is found at fault, what it did no longer speaks against the other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::unit::{Job, Node, Time};
+
+/// Distinct jobs that must fail in a row at a worker before it is quarantined.
+const JOBS: usize = 3;
+/// Points at which a job is at fault.
+const POINTS: u32 = 6;
+/// Points of a failure at a worker where another job finished.
+const VOUCHED: u32 = 2;
+/// Points of a failure at a worker that nothing is known of.
+const FRESH: u32 = 1;
+/// Failures after which a job is at fault in any case.
+const FAILURES: u32 = 12;
+/// Largest share of the workers in quarantine at one time: one in this many.
+const QUARANTINE_SHARE: usize = 5;
+/// Length of the first quarantine; each further one is twice as long.
+const FIRST: Duration = Duration::from_mins(1);
+/// Greatest length of a quarantine.
+const LONGEST: Duration = Duration::from_hours(1);
+
+/// What becomes of a job after a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is tried again on another worker.
+    Retry,
+    /// It is at fault itself and ends.
+    AtFault,
+}
+
+/// What changed for a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// It gets no work.
+    Quarantined(Node),
+    /// It gets one job at a time, as a probe.
+    Probed(Node),
+    /// It gets work as before.
+    TakenBack(Node),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Good,
+    Quarantined(Time),
+    Probed,
+}
+
+#[derive(Debug)]
+struct Record {
+    state: State,
+    /// Jobs that failed here since the last one finished.
+    failed: BTreeSet<Job>,
+    vouched: bool,
+    quarantines: u32,
+}
+
+#[derive(Debug, Default)]
+struct History {
+    at: BTreeSet<Node>,
+    failures: u32,
+}
+
+/// The evidence of a zone.
+#[derive(Debug, Default)]
+pub struct Health {
+    workers: BTreeMap<Node, Record>,
+    jobs: BTreeMap<Job, History>,
+    quarantined: usize,
+}
+
+impl Health {
+    /// Takes in that a job failed at a worker, one of `total`.
+    pub fn failed(
+        &mut self,
+        now: Time,
+        job: Job,
+        node: &Node,
+        total: usize,
+    ) -> (Verdict, Option<Change>) {
+        let history = self.jobs.entry(job).or_default();
+        history.at.insert(node.clone());
+        history.failures += 1;
+        let record = self.workers.entry(node.clone()).or_insert_with(Record::new);
+        record.failed.insert(job);
+        let change = self.judge_worker(now, node, total);
+        let verdict = self.judge_job(job, total);
+        if verdict == Verdict::AtFault {
+            self.exonerate_workers(job);
+        }
+        (verdict, change)
+    }
+
+    /// Takes in that a job finished at a worker.
+    pub fn finished(&mut self, node: &Node) -> Option<Change> {
+        let record = self.workers.entry(node.clone()).or_insert_with(Record::new);
+        record.vouched = true;
+        record.failed.clear();
+        if record.state == State::Good {
+            return None;
+        }
+        record.state = State::Good;
+        record.quarantines = 0;
+        self.quarantined -= 1;
+        Some(Change::TakenBack(node.clone()))
+    }
+
+    /// Forgets a job that has ended.
+    pub fn forget_job(&mut self, job: Job) {
+        self.jobs.remove(&job);
+    }
+
+    /// Forgets a worker that is gone.
+    pub fn forget_worker(&mut self, node: &Node) {
+        if let Some(record) = self.workers.remove(node)
+            && record.state != State::Good
+        {
+            self.quarantined -= 1;
+        }
+    }
+
+    /// Returns the workers at which a job has failed.
+    pub fn failed_at(&self, job: Job) -> impl Iterator<Item = &Node> {
+        self.jobs.get(&job).into_iter().flat_map(|history| &history.at)
+    }
+
+    /// Returns whether a job has failed before.
+    #[must_use]
+    pub fn has_failed(&self, job: Job) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Lets quarantines end: their workers are probed.
+    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        if self.quarantined == 0 {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for (node, record) in &mut self.workers {
+            if matches!(record.state, State::Quarantined(until) if until <= now) {
+                record.state = State::Probed;
+                changes.push(Change::Probed(node.clone()));
+            }
+        }
+        changes
+    }
+
+    fn judge_worker(&mut self, now: Time, node: &Node, total: usize) -> Option<Change> {
+        let record = self.workers.get(node)?;
+        let against = match record.state {
+            State::Quarantined(_) => return None,
+            State::Probed => JOBS,
+            State::Good => {
+                let only_here = |job: &&Job| {
+                    self.jobs.get(job).is_none_or(|history| {
+                        !history.at.iter().any(|other| other != node && self.speaks(**job, other))
+                    })
+                };
+                record.failed.iter().filter(only_here).count()
+            }
+        };
+        let probed = record.state == State::Probed;
+        let room = self.quarantined < (total / QUARANTINE_SHARE).max(1);
+        if against < JOBS || !(probed || room) {
+            return None;
+        }
+        let record = self.workers.get_mut(node)?;
+        let length = FIRST * (1 << record.quarantines.min(6));
+        record.state = State::Quarantined(now + length.min(LONGEST));
+        record.quarantines += 1;
+        record.vouched = false;
+        if !probed {
+            self.quarantined += 1;
+        }
+        for job in std::mem::take(&mut record.failed) {
+            if let Some(history) = self.jobs.get_mut(&job) {
+                history.failures = history.failures.saturating_sub(1);
+            }
+        }
+        Some(Change::Quarantined(node.clone()))
+    }
+
+    fn judge_job(&self, job: Job, total: usize) -> Verdict {
+        let Some(history) = self.jobs.get(&job) else {
+            return Verdict::Retry;
+        };
+        let points: u32 = history.at.iter().map(|node| self.points(job, node)).sum();
+        let everywhere = history.at.len() >= total;
+        if points >= POINTS || everywhere || history.failures >= FAILURES {
+            return Verdict::AtFault;
+        }
+        Verdict::Retry
+    }
+
+    /// Returns whether a job's failure at a worker speaks against the job.
+    fn speaks(&self, job: Job, node: &Node) -> bool {
+        self.points(job, node) > 0
+    }
+
+    fn points(&self, job: Job, node: &Node) -> u32 {
+        let Some(record) = self.workers.get(node) else {
+            return 0;
+        };
+        if record.state != State::Good {
+            return 0;
+        }
+        if record.vouched {
+            return VOUCHED;
+        }
+        if record.failed.iter().any(|&other| other != job) { 0 } else { FRESH }
+    }
+
+    fn exonerate_workers(&mut self, job: Job) {
+        for record in self.workers.values_mut() {
+            record.failed.remove(&job);
+        }
+    }
+}
+
+impl Record {
+    fn new() -> Self {
+        Self { state: State::Good, failed: BTreeSet::new(), vouched: false, quarantines: 0 }
+    }
+}
--- a/persimmondrift/src/intent.rs
+++ b/persimmondrift/src/intent.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Config, Record};
-use crate::place::Shape;
-use crate::unit::{Accelerators, Mutation, Operator, Plan, Version, Workspace};
+use crate::guarantee::{self, Supply};
+use crate::unit::{Mutation, Operator, Plan, Version, Workspace};
 
 /// What the system would do, and from which version it was worked out.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,15 +19,6 @@
     pub effects: Vec<String>,
 }
 
-/// The accelerators that are there, for the check of guarantees.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Supply {
-    /// Accelerators of healthy workers.
-    pub accelerators: Accelerators,
-    /// Most accelerators of one worker.
-    pub largest: Accelerators,
-}
-
 /// Why an intent is refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
@@ -38,22 +29,9 @@
     /// A workspace is not known.
     #[error("workspace {0} does not exist; create it first")]
     NoWorkspace(Workspace),
-    /// The guarantees would not fit at once.
-    #[error("guarantees need {needed} accelerators, healthy workers have {supply}")]
-    Overcommitted {
-        /// Accelerators of all guarantees.
-        needed: Accelerators,
-        /// Accelerators of healthy workers.
-        supply: Accelerators,
-    },
-    /// No worker can hold a part of the shape.
-    #[error("a part needs {needed} accelerators, the largest worker has {largest}")]
-    Impossible {
-        /// Accelerators of a part.
-        needed: Accelerators,
-        /// Most accelerators of one worker.
-        largest: Accelerators,
-    },
+    /// A shape does not fit, or a guarantee would be broken.
+    #[error("{0}")]
+    Guarantee(#[from] guarantee::Error),
     /// The configuration changed since the plan was made.
     #[error("planned from version {base}, but version {current} is in force; plan again")]
     Conflict {
@@ -73,7 +51,7 @@
 /// Returns [`Error`] if the intent cannot be carried out.
 pub fn plan(
     config: &Config,
-    supply: Supply,
+    supply: &Supply,
     plan: Plan,
     changes: Vec<Change>,
 ) -> Result<Draft, Error> {
@@ -82,17 +60,18 @@
     }
     let mut after = config.clone();
     let mut effects = Vec::new();
-    for change in &changes {
-        check(&after, supply, change)?;
-        effects.push(describe(change));
+    let mut bound = Vec::new();
+    for change in changes {
+        check(&after, &change)?;
+        let change = guarantee::bind(&after, supply, change)?;
+        effects.push(describe(&change));
         let record = record_of(after.version.next(), plan, vec![change.clone()]);
         let applied = after.apply(&record);
         debug_assert_eq!(applied, Ok(true));
+        bound.push(change);
     }
-    let needed = guaranteed(&after);
-    if needed > guaranteed(config) && needed > supply.accelerators {
-        return Err(Error::Overcommitted { needed, supply: supply.accelerators });
-    }
+    let changes = bound;
+    guarantee::check(config, &after, supply, &changes)?;
     Ok(Draft { plan, base: config.version, changes, effects })
 }
 
@@ -101,36 +80,15 @@
     Record { version, plan, operator, mutation: Mutation(0), changes }
 }
 
-fn check(config: &Config, supply: Supply, change: &Change) -> Result<(), Error> {
-    let fits = |shape: &Shape| {
-        if shape.accelerators > supply.largest {
-            let needed = shape.accelerators;
-            return Err(Error::Impossible { needed, largest: supply.largest });
-        }
-        Ok(())
-    };
+fn check(config: &Config, change: &Change) -> Result<(), Error> {
     match change {
-        Change::PutWorkspace { quota, .. } => quota.guarantees.iter().try_for_each(fits),
-        Change::Submit { spec, .. } => {
-            if !config.workspaces.contains_key(&spec.workspace) {
-                return Err(Error::NoWorkspace(spec.workspace.clone()));
-            }
-            fits(&spec.shape)
+        Change::Submit { spec, .. } if !config.workspaces.contains_key(&spec.workspace) => {
+            Err(Error::NoWorkspace(spec.workspace.clone()))
         }
         _ => Ok(()),
     }
 }
 
-fn guaranteed(config: &Config) -> Accelerators {
-    let mut sum = Accelerators(0);
-    for quota in config.workspaces.values() {
-        for shape in &quota.guarantees {
-            sum += Accelerators(u32::from(shape.parts) * shape.accelerators.0);
-        }
-    }
-    sum
-}
-
 fn describe(change: &Change) -> String {
     match change {
         Change::PutWorkspace { workspace, quota } => {
--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod entry;
 pub mod event;
 pub mod gang;
+pub mod guarantee;
+pub mod health;
 pub mod intent;
 pub mod member;
 pub mod place;
--- a/persimmondrift/src/place.rs
+++ b/persimmondrift/src/place.rs
@@ -1,15 +1,33 @@
 //! Placing of jobs on the accelerators of one availability zone.
 
-use std::collections::BTreeMap;
+mod claim;
+mod estimate;
+mod evict;
+mod explain;
+mod fit;
+mod home;
+mod ledger;
+mod planner;
+mod policy;
+mod queue;
+mod reserve;
+mod start;
+
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use slotmap::{SlotMap, new_key_type};
 
-use crate::member::Capacity;
 use crate::unit::{
-    Accelerators, Attempt, Cores, Job, Kind, Mebibytes, Millis, Node, Rack, Time, Workspace, Zone,
+    Accelerators, Attempt, Cores, Job, Kind, Mebibytes, Millis, Node, Rack, Workspace, Zone,
 };
 
+pub use estimate::Estimates;
+pub use explain::Wait;
+pub use home::{Host, Kept, Promise, Unfit, pack};
+pub use planner::Planner;
+pub use policy::Policy;
+pub use queue::Share;
+
 /// How close the parts of a job must stand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -109,9 +127,33 @@
     Cancelled,
 }
 
-new_key_type! {
-    /// Refers to a worker of the planner.
-    pub struct WorkerKey;
+impl fmt::Display for Shape {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let adjacency = match self.adjacency {
+            Adjacency::Worker => "on one worker",
+            Adjacency::Rack => "in one rack",
+            Adjacency::Zone => "in the zone",
+        };
+        write!(f, "{} x {} accelerators {adjacency}", self.parts, self.accelerators)
+    }
+}
+
+impl Shape {
+    /// Returns the accelerators of all parts.
+    #[must_use]
+    pub fn total(&self) -> Accelerators {
+        Accelerators(u32::from(self.parts) * self.accelerators.0)
+    }
+
+    /// Returns whether a place for this shape holds `other` too.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        self.parts >= other.parts
+            && self.accelerators >= other.accelerators
+            && self.cores >= other.cores
+            && self.memory >= other.memory
+            && self.adjacency <= other.adjacency
+    }
 }
 
 /// A decision of the planner.
@@ -137,6 +179,30 @@
         /// Why it is stopped.
         cause: Cause,
     },
+    /// A guaranteed shape has no place on healthy workers any more.
+    AtRisk {
+        /// The workspace that holds the guarantee.
+        workspace: Workspace,
+        /// The shape.
+        shape: Shape,
+    },
+    /// A guaranteed shape has a place again.
+    Restored {
+        /// The workspace that holds the guarantee.
+        workspace: Workspace,
+        /// The shape.
+        shape: Shape,
+    },
+    /// A worker that fails what it starts gets no more work for a while.
+    Quarantined {
+        /// The node of the worker.
+        node: Node,
+    },
+    /// A quarantined worker has finished a job and is used again.
+    TakenBack {
+        /// The node of the worker.
+        node: Node,
+    },
 }
 
 /// Why a place was chosen.
@@ -146,6 +212,10 @@
     TightestRack(Rack),
     /// The parts did not fit into one rack.
     AcrossRacks,
+    /// It is the place kept for a guarantee of the workspace.
+    Guaranteed,
+    /// Other attempts were stopped to make room.
+    Evicted,
 }
 
 /// Why an attempt is stopped.
@@ -155,198 +225,14 @@
     Cancelled,
     /// A guarantee was claimed.
     Claimed,
+    /// Urgent work needs its place.
+    Urgent,
+    /// A job that has waited long needs its place.
+    Reserved,
     /// A worker of it was lost.
     WorkerLost,
 }
 
-#[derive(Debug)]
-struct Worker {
-    node: Node,
-    rack: Rack,
-    capacity: Capacity,
-    free: u64,
-    open: bool,
-}
-
-#[derive(Debug)]
-struct Entry {
-    spec: Spec,
-    submitted: Time,
-    attempt: Attempt,
-    seats: Vec<Seat>,
-}
-
-/// The planner of one availability zone.
-#[derive(Debug, Default)]
-pub struct Planner {
-    workers: SlotMap<WorkerKey, Worker>,
-    by_node: BTreeMap<Node, WorkerKey>,
-    jobs: BTreeMap<Job, Entry>,
-}
-
-impl Planner {
-    /// Adds a worker, or changes whether it takes new work.
-    pub fn put_worker(&mut self, node: &Node, rack: &Rack, capacity: Capacity, open: bool) {
-        if let Some(&key) = self.by_node.get(node) {
-            self.workers[key].open = open;
-            return;
-        }
-        let free = mask_of(capacity.accelerators);
-        let worker = Worker { node: node.clone(), rack: rack.clone(), capacity, free, open };
-        let key = self.workers.insert(worker);
-        self.by_node.insert(node.clone(), key);
-    }
-
-    /// Removes a lost worker; attempts with a part on it stop as a whole.
-    pub fn remove_worker(&mut self, node: &Node) -> Vec<Effect> {
-        let Some(key) = self.by_node.remove(node) else {
-            return Vec::new();
-        };
-        self.workers.remove(key);
-        let mut effects = Vec::new();
-        for (&job, entry) in &self.jobs {
-            if entry.seats.iter().any(|seat| seat.node == *node) {
-                let attempt = entry.attempt;
-                effects.push(Effect::Stop { job, attempt, cause: Cause::WorkerLost });
-            }
-        }
-        effects
-    }
-
-    /// Takes in a job; one that is known already changes nothing.
-    pub fn submit(&mut self, now: Time, job: Job, spec: Spec) {
-        let entry = Entry { spec, submitted: now, attempt: Attempt(0), seats: Vec::new() };
-        self.jobs.entry(job).or_insert(entry);
-    }
-
-    /// Takes in that an attempt has left its accelerators without an end of the job.
-    pub fn released(&mut self, job: Job, attempt: Attempt) {
-        let Some(entry) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        if entry.attempt != attempt {
-            return;
-        }
-        let seats = std::mem::take(&mut entry.seats);
-        self.give_back(&seats);
-    }
-
-    /// Takes in that a job has ended.
-    pub fn ended(&mut self, job: Job) {
-        if let Some(entry) = self.jobs.remove(&job) {
-            self.give_back(&entry.seats);
-        }
-    }
-
-    /// Cancels a job; a running attempt is stopped.
-    pub fn cancel(&mut self, job: Job) -> Vec<Effect> {
-        let Some(entry) = self.jobs.get(&job) else {
-            return Vec::new();
-        };
-        if entry.seats.is_empty() {
-            self.jobs.remove(&job);
-            return Vec::new();
-        }
-        vec![Effect::Stop { job, attempt: entry.attempt, cause: Cause::Cancelled }]
-    }
-
-    /// Starts what fits, the most urgent and oldest first.
-    pub fn step(&mut self, _now: Time) -> Vec<Effect> {
-        let mut waiting: Vec<(Class, Time, Job)> = Vec::new();
-        for (&job, entry) in &self.jobs {
-            if entry.seats.is_empty() {
-                waiting.push((entry.spec.class, entry.submitted, job));
-            }
-        }
-        waiting.sort_unstable();
-        let mut effects = Vec::new();
-        for (_, _, job) in waiting {
-            let shape = self.jobs[&job].spec.shape;
-            let Some((seats, reason)) = self.find(shape) else {
-                continue;
-            };
-            self.take(&seats);
-            if let Some(entry) = self.jobs.get_mut(&job) {
-                entry.attempt = Attempt(entry.attempt.0 + 1);
-                entry.seats.clone_from(&seats);
-                effects.push(Effect::Start { job, attempt: entry.attempt, seats, reason });
-            }
-        }
-        effects
-    }
-
-    /// Returns the workers, the free accelerators and the jobs that wait.
-    #[must_use]
-    pub fn summary(&self) -> Summary {
-        let free = self.workers.values().map(|worker| worker.free.count_ones()).sum();
-        let waiting = self.jobs.values().filter(|entry| entry.seats.is_empty()).count();
-        Summary { workers: self.workers.len(), free: Accelerators(free), waiting }
-    }
-
-    fn find(&self, shape: Shape) -> Option<(Vec<Seat>, Reason)> {
-        let mut racks: BTreeMap<&Rack, Vec<WorkerKey>> = BTreeMap::new();
-        for (key, worker) in &self.workers {
-            if worker.open && shape.accelerators <= worker.capacity.accelerators {
-                racks.entry(&worker.rack).or_default().push(key);
-            }
-        }
-        let mut best: Option<(u32, Vec<Seat>, Reason)> = None;
-        for (rack, keys) in &racks {
-            let Some(seats) = self.fit(keys, shape) else {
-                continue;
-            };
-            let free: u32 = keys.iter().map(|&key| self.workers[key].free.count_ones()).sum();
-            if best.as_ref().is_none_or(|(least, _, _)| free < *least) {
-                best = Some((free, seats, Reason::TightestRack((*rack).clone())));
-            }
-        }
-        if let Some((_, seats, reason)) = best {
-            return Some((seats, reason));
-        }
-        if shape.adjacency != Adjacency::Zone {
-            return None;
-        }
-        let keys: Vec<WorkerKey> = racks.into_values().flatten().collect();
-        Some((self.fit(&keys, shape)?, Reason::AcrossRacks))
-    }
-
-    fn fit(&self, keys: &[WorkerKey], shape: Shape) -> Option<Vec<Seat>> {
-        let mut seats = Vec::new();
-        for &key in keys {
-            let worker = &self.workers[key];
-            let before = seats.len();
-            let mut free = worker.free;
-            while seats.len() < usize::from(shape.parts)
-                && free.count_ones() >= shape.accelerators.0
-            {
-                let mask = lowest_bits(free, shape.accelerators);
-                free &= !mask;
-                seats.push(Seat { node: worker.node.clone(), mask });
-            }
-            if shape.adjacency == Adjacency::Worker && seats.len() < usize::from(shape.parts) {
-                seats.truncate(before);
-            }
-        }
-        (seats.len() == usize::from(shape.parts)).then_some(seats)
-    }
-
-    fn take(&mut self, seats: &[Seat]) {
-        for seat in seats {
-            if let Some(&key) = self.by_node.get(&seat.node) {
-                self.workers[key].free &= !seat.mask;
-            }
-        }
-    }
-
-    fn give_back(&mut self, seats: &[Seat]) {
-        for seat in seats {
-            if let Some(&key) = self.by_node.get(&seat.node) {
-                self.workers[key].free |= seat.mask;
-            }
-        }
-    }
-}
-
 /// What a zone has and what waits in it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
@@ -357,17 +243,3 @@
     /// Jobs that wait.
     pub waiting: usize,
 }
-
-fn mask_of(count: Accelerators) -> u64 {
-    if count.0 >= u64::BITS { u64::MAX } else { (1 << count.0) - 1 }
-}
-
-fn lowest_bits(mut free: u64, count: Accelerators) -> u64 {
-    let mut mask = 0;
-    for _ in 0..count.0 {
-        let bit = free & free.wrapping_neg();
-        mask |= bit;
-        free &= !bit;
-    }
-    mask
-}
--- /dev/null
+++ b/persimmondrift/src/place/explain.rs
@@ -0,0 +1,122 @@
+//! Why a job waits.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::planner::{Planner, State};
+use super::{Eviction, Shape, fit};
+use crate::unit::{Accelerators, Attempt, Job, Time, Workspace};
+
+/// What a job does or waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wait {
+    /// It runs.
+    Running(Attempt),
+    /// Its place is found; other jobs are leaving it.
+    Leaving {
+        /// The shape.
+        shape: Shape,
+        /// Jobs that have still to leave.
+        jobs: usize,
+    },
+    /// No set of workers of this zone holds the shape, even when empty.
+    Impossible(Shape),
+    /// Its workspace holds as much as it may.
+    Quota {
+        /// The workspace.
+        workspace: Workspace,
+        /// Accelerators it holds.
+        used: u32,
+        /// Accelerators it may hold.
+        limit: Accelerators,
+    },
+    /// A lost or refused attempt must be over before the next one.
+    Pause(Duration),
+    /// It cannot be evicted, and what is free is kept for guarantees.
+    Guarantees(Shape),
+    /// A place is reserved.
+    Reserved {
+        /// The shape.
+        shape: Shape,
+        /// When it is expected to start.
+        after: Duration,
+    },
+    /// Too few accelerators are free, or not close enough together.
+    Capacity {
+        /// The shape.
+        shape: Shape,
+        /// Accelerators that are free.
+        free: Accelerators,
+        /// When it is expected to fit, unless others go first.
+        after: Option<Duration>,
+    },
+}
+
+impl fmt::Display for Wait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Running(attempt) => write!(f, "runs as attempt {attempt}"),
+            Self::Leaving { shape, jobs } => {
+                write!(f, "{shape}: waits for {jobs} jobs to leave its place")
+            }
+            Self::Impossible(shape) => write!(f, "{shape}: no workers of this zone hold it"),
+            Self::Quota { workspace, used, limit } => {
+                write!(f, "workspace {workspace} holds {used} of {limit} accelerators")
+            }
+            Self::Pause(left) => {
+                write!(f, "the attempt before must be over, {} s", left.as_secs_f64())
+            }
+            Self::Guarantees(shape) => {
+                write!(f, "{shape}: what is free is kept for guarantees")
+            }
+            Self::Reserved { shape, after } => {
+                write!(f, "{shape}: reserved, expected in {} s", after.as_secs())
+            }
+            Self::Capacity { shape, free, after: Some(after) } => {
+                write!(f, "{shape}: {free} are free, expected in {} s", after.as_secs())
+            }
+            Self::Capacity { shape, free, after: None } => {
+                write!(f, "{shape}: {free} are free, not expected soon")
+            }
+        }
+    }
+}
+
+impl Planner {
+    /// Returns why a job waits, or nothing if the job is not known.
+    #[must_use]
+    pub fn explain(&self, now: Time, job: Job) -> Option<Wait> {
+        let entry = self.jobs.get(&job)?;
+        let shape = entry.spec.shape;
+        match entry.state {
+            State::Running | State::Leaving => return Some(Wait::Running(entry.attempt)),
+            State::Promised => {
+                let jobs = self.victims(&entry.slots, &entry.spec).unwrap_or_default().len();
+                return Some(Wait::Leaving { shape, jobs });
+            }
+            State::Waiting => {}
+        }
+        let all = fit::find(&self.ledger, &shape, |_, worker| worker.all);
+        if shape.parts == 0 || all.is_none() {
+            return Some(Wait::Impossible(shape));
+        }
+        if !self.within_limit(&entry.spec.workspace, &shape) {
+            let workspace = entry.spec.workspace.clone();
+            let used = self.used_by(&workspace);
+            let limit = self.quotas.get(&workspace)?.limit?;
+            return Some(Wait::Quota { workspace, used, limit });
+        }
+        if entry.not_before > now {
+            return Some(Wait::Pause(entry.not_before.since(now)));
+        }
+        if let Some(found) = self.reservations.iter().find(|found| found.job == job) {
+            return Some(Wait::Reserved { shape, after: found.at.since(now) });
+        }
+        let free_place = fit::find(&self.ledger, &shape, |_, worker| worker.free());
+        if entry.spec.eviction == Eviction::Never && free_place.is_some() {
+            return Some(Wait::Guarantees(shape));
+        }
+        let after = self.earliest(now, &entry.spec).map(|(at, _)| at.since(now));
+        Some(Wait::Capacity { shape, free: self.summary().free, after })
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/place/planner.rs
@@ -0,0 +1,502 @@
+//! The state of the planner of one availability zone, and what it takes in.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::estimate::{self, Estimates};
+use super::home::{Home, Homes, Kept, Promise};
+use super::ledger::{Ledger, Slot, WorkerKey};
+use super::reserve::Reservation;
+use super::{Cause, Effect, Eviction, Outcome, Policy, Reason, Seat, Share, Spec, Summary};
+use crate::gang::{Holding, LEASE};
+use crate::health::{Change, Health, Verdict};
+use crate::member::Capacity;
+use crate::unit::{Accelerators, Attempt, Job, Node, Rack, Time, Workspace};
+
+/// Time beyond the lease after which a lost part is taken to have stopped.
+const LAPSE_MARGIN: Duration = Duration::from_millis(500);
+/// First pause after an attempt that ended without being asked to; doubled each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Doublings of that pause at most.
+const PAUSE_DOUBLINGS: u32 = 6;
+
+/// What a job does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    /// It waits for a place.
+    Waiting,
+    /// Its place is promised, others have still to leave it.
+    Promised,
+    /// It holds its place.
+    Running,
+    /// It was asked to stop and holds its place until it has.
+    Leaving,
+}
+
+/// A job.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub spec: Spec,
+    pub submitted: Time,
+    /// Since when it waits or runs.
+    pub since: Time,
+    pub attempt: Attempt,
+    pub state: State,
+    /// The place it holds or is promised.
+    pub slots: Vec<Slot>,
+    /// Whether its place counts as firm.
+    pub firm: bool,
+    pub reason: Reason,
+    /// The expected run time of the whole job.
+    pub expected: Duration,
+    /// The run time that checkpoints have saved.
+    pub ran: Duration,
+    pub started: Time,
+    pub not_before: Time,
+    pub pauses: u32,
+    pub cancelled: bool,
+}
+
+impl Entry {
+    /// Returns the run time that is left.
+    pub fn left(&self, now: Time) -> Duration {
+        let ran = match self.state {
+            State::Running | State::Leaving => self.ran + now.since(self.started),
+            State::Waiting | State::Promised => self.ran,
+        };
+        estimate::left(self.expected, ran)
+    }
+
+    /// Returns the accelerators of all parts.
+    pub fn total(&self) -> f64 {
+        f64::from(self.spec.shape.total().0.max(1))
+    }
+}
+
+/// The planner of one availability zone.
+#[derive(Debug, Default)]
+pub struct Planner {
+    pub(super) policy: Policy,
+    pub(super) ledger: Ledger,
+    pub(super) homes: Homes,
+    pub(super) health: Health,
+    pub(super) estimates: Estimates,
+    pub(super) jobs: BTreeMap<Job, Entry>,
+    pub(super) waiting: BTreeSet<Job>,
+    pub(super) promised: BTreeSet<Job>,
+    pub(super) quotas: BTreeMap<Workspace, Share>,
+    pub(super) used: BTreeMap<Workspace, u32>,
+    pub(super) probed: BTreeSet<WorkerKey>,
+    pub(super) reservations: Vec<Reservation>,
+    pub(super) changed: bool,
+    pub(super) stepped: Time,
+    pub(super) wake: Option<Time>,
+}
+
+impl Planner {
+    /// Creates a planner with weights.
+    #[must_use]
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Sets the guarantees that stand in this zone.
+    pub fn set_guarantees(&mut self, promises: Vec<Promise>) {
+        self.homes.set(&mut self.ledger, promises);
+        self.changed = true;
+    }
+
+    /// Forgets the shares of all workspaces.
+    pub fn clear_shares(&mut self) {
+        self.quotas.clear();
+        self.changed = true;
+    }
+
+    /// Sets the share of a workspace.
+    pub fn set_share(&mut self, workspace: Workspace, share: Share) {
+        self.quotas.insert(workspace, share);
+        self.changed = true;
+    }
+
+    /// Adds a worker, or changes what it has and whether it takes new work.
+    pub fn put_worker(&mut self, node: &Node, rack: &Rack, capacity: Capacity, open: bool) {
+        if self.ledger.put(node, rack, capacity, open) {
+            self.homes.unsettle();
+            self.changed = true;
+        }
+    }
+
+    /// Gives a worker nothing new until it is put again.
+    pub fn close_worker(&mut self, node: &Node) {
+        if self.ledger.close(node) {
+            self.homes.unsettle();
+            self.changed = true;
+        }
+    }
+
+    /// Takes in what a worker's agent says it holds.
+    ///
+    /// Accelerators held by attempts that are not known here are left alone.
+    pub fn put_holdings(&mut self, node: &Node, holdings: &[Holding]) {
+        let mut foreign = 0;
+        for holding in holdings {
+            let entry = self.jobs.get(&holding.task.job);
+            let known = entry.is_some_and(|entry| {
+                entry.attempt == holding.task.attempt && !entry.slots.is_empty()
+            });
+            if !known {
+                foreign |= holding.mask;
+            }
+        }
+        let Some(key) = self.ledger.key(node) else {
+            return;
+        };
+        let worker = &mut self.ledger.workers[key];
+        if worker.foreign != foreign {
+            worker.foreign = foreign;
+            self.changed = true;
+        }
+    }
+
+    /// Removes a lost worker; attempts with a part on it stop as a whole.
+    ///
+    /// What they held there is not reused before their lease has lapsed.
+    pub fn remove_worker(&mut self, now: Time, node: &Node) -> Vec<Effect> {
+        let until = now + Duration::from(LEASE) + LAPSE_MARGIN;
+        let Some((key, worker)) = self.ledger.remove(node, until) else {
+            return Vec::new();
+        };
+        self.changed = true;
+        self.homes.unsettle();
+        self.health.forget_worker(node);
+        self.probed.remove(&key);
+        let mut effects = Vec::new();
+        let jobs: BTreeSet<Job> = worker.tenants.iter().map(|tenant| tenant.job).collect();
+        for job in jobs {
+            if let Some(entry) = self.jobs.get_mut(&job) {
+                entry.not_before = until;
+            }
+            effects.extend(self.stop(job, Cause::WorkerLost));
+        }
+        let promised: Vec<Job> = self.promised.iter().copied().collect();
+        for job in promised {
+            if self.jobs[&job].slots.iter().any(|slot| slot.worker == key) {
+                self.unpromise(job);
+            }
+        }
+        effects
+    }
+
+    /// Takes in a job; one that is known already changes nothing.
+    pub fn submit(&mut self, now: Time, job: Job, spec: Spec) {
+        if self.jobs.contains_key(&job) {
+            return;
+        }
+        let entry = Entry {
+            expected: self.estimates.expect(&spec),
+            spec,
+            submitted: now,
+            since: now,
+            attempt: Attempt(0),
+            state: State::Waiting,
+            slots: Vec::new(),
+            firm: false,
+            reason: Reason::AcrossRacks,
+            ran: Duration::ZERO,
+            started: now,
+            not_before: now,
+            pauses: 0,
+            cancelled: false,
+        };
+        self.jobs.insert(job, entry);
+        self.waiting.insert(job);
+        self.changed = true;
+    }
+
+    /// Takes in that an attempt runs already, as agents report it to a new planner.
+    ///
+    /// Returns whether the job is known and all its accelerators could be booked.
+    pub fn adopt(&mut self, now: Time, job: Job, attempt: Attempt, seats: &[Seat]) -> bool {
+        let Some(entry) = self.jobs.get(&job) else {
+            return false;
+        };
+        if entry.state != State::Waiting || seats.len() != usize::from(entry.spec.shape.parts) {
+            return false;
+        }
+        let mut slots = Vec::new();
+        for seat in seats {
+            let Some(worker) = self.ledger.key(&seat.node) else {
+                return false;
+            };
+            let found = &mut self.ledger.workers[worker];
+            if found.held.mask & seat.mask != 0 || seat.mask & !found.all.mask != 0 {
+                return false;
+            }
+            found.foreign &= !seat.mask;
+            slots.push(Slot { worker, mask: seat.mask });
+        }
+        let (spec, shape) = (entry.spec.clone(), entry.spec.shape);
+        let index = self
+            .homes
+            .covering(&spec.workspace, &shape)
+            .filter(|&index| spec.claim && self.homes.list[index].promise.shape == shape);
+        if index.is_some() || spec.eviction == Eviction::Never {
+            self.homes.clear(&mut self.ledger, &slots);
+        }
+        if let Some(index) = index {
+            self.homes.place(&mut self.ledger, index, slots.clone());
+            self.homes.list[index].claim = Some(job);
+        }
+        self.begin(now, job, slots, Reason::AcrossRacks);
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.attempt = attempt;
+        }
+        true
+    }
+
+    /// Raises the number of the next attempt above one that is recorded.
+    pub fn tried(&mut self, job: Job, attempt: Attempt) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.attempt = entry.attempt.max(attempt);
+        }
+    }
+
+    /// Takes in that an attempt has left its accelerators without an end of the job.
+    pub fn released(&mut self, now: Time, job: Job, attempt: Attempt) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if entry.attempt != attempt || !matches!(entry.state, State::Running | State::Leaving) {
+            return;
+        }
+        if entry.state == State::Running {
+            let pause = FIRST_PAUSE * (1 << entry.pauses.min(PAUSE_DOUBLINGS));
+            entry.not_before = entry.not_before.max(now + pause);
+            entry.pauses += 1;
+        }
+        if entry.spec.eviction == Eviction::Checkpoint && entry.state == State::Leaving {
+            entry.ran += now.since(entry.started);
+        }
+        let cancelled = entry.cancelled;
+        self.leave(Some(now), job);
+        if cancelled {
+            self.forget(job);
+        }
+    }
+
+    /// Takes in that a job has ended well, or is known to be over for another reason.
+    pub fn ended(&mut self, now: Time, job: Job, outcome: Outcome) -> Vec<Effect> {
+        let Some(entry) = self.jobs.get(&job) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        if outcome == Outcome::Finished && matches!(entry.state, State::Running | State::Leaving) {
+            let took = entry.ran + now.since(entry.started);
+            self.estimates.learn(&entry.spec, took);
+            let mut nodes: Vec<Node> = Vec::new();
+            for seat in self.ledger.seats(&entry.slots) {
+                if nodes.last() != Some(&seat.node) {
+                    nodes.push(seat.node);
+                }
+            }
+            for node in nodes {
+                if let Some(change) = self.health.finished(&node) {
+                    effects.extend(self.judged(change));
+                }
+            }
+        }
+        self.leave(None, job);
+        self.forget(job);
+        effects
+    }
+
+    /// Takes in that an attempt failed at a node, and judges who is at fault.
+    pub fn failed(
+        &mut self,
+        now: Time,
+        job: Job,
+        attempt: Attempt,
+        node: &Node,
+    ) -> (Verdict, Vec<Effect>) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return (Verdict::Retry, Vec::new());
+        };
+        if entry.attempt != attempt {
+            return (Verdict::Retry, Vec::new());
+        }
+        let cancelled = entry.cancelled;
+        let total = self.ledger.workers.len();
+        let (verdict, change) = self.health.failed(now, job, node, total);
+        let effects: Vec<Effect> = change.into_iter().filter_map(|c| self.judged(c)).collect();
+        self.leave(Some(now), job);
+        if cancelled || verdict == Verdict::AtFault {
+            self.forget(job);
+        }
+        (verdict, effects)
+    }
+
+    /// Cancels a job; a running attempt is stopped. Doing it again changes nothing.
+    pub fn cancel(&mut self, job: Job) -> Vec<Effect> {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return Vec::new();
+        };
+        entry.cancelled = true;
+        if matches!(entry.state, State::Running | State::Leaving) {
+            return self.stop(job, Cause::Cancelled).into_iter().collect();
+        }
+        self.leave(None, job);
+        self.forget(job);
+        Vec::new()
+    }
+
+    /// Returns where each guarantee is kept.
+    #[must_use]
+    pub fn kept(&self) -> Vec<Kept> {
+        let kept = |home: &Home| Kept {
+            promise: home.promise.clone(),
+            seats: home.slots.as_ref().map(|slots| self.ledger.seats(slots)),
+            claim: home.claim,
+        };
+        self.homes.list.iter().map(kept).collect()
+    }
+
+    /// Returns whether a job is known and has not ended.
+    #[must_use]
+    pub fn knows(&self, job: Job) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Returns the workers, the free accelerators and the jobs that wait.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let free = self.ledger.workers.values().map(|w| w.free().mask.count_ones()).sum();
+        Summary {
+            workers: self.ledger.workers.len(),
+            free: Accelerators(free),
+            waiting: self.waiting.len() + self.promised.len(),
+        }
+    }
+
+    /// Returns the accelerators of all workers.
+    pub(super) fn capacity(&self) -> u32 {
+        self.ledger.workers.values().map(|worker| worker.all.mask.count_ones()).sum()
+    }
+
+    /// Gives a job its place.
+    pub(super) fn begin(&mut self, now: Time, job: Job, slots: Vec<Slot>, reason: Reason) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let shape = entry.spec.shape;
+        self.ledger.hold(job, &slots, &shape);
+        entry.slots = slots;
+        entry.state = State::Running;
+        entry.started = now;
+        entry.reason = reason;
+        entry.attempt = Attempt(entry.attempt.0 + 1);
+        let workspace = entry.spec.workspace.clone();
+        *self.used.entry(workspace).or_default() += shape.total().0;
+        self.waiting.remove(&job);
+        self.promised.remove(&job);
+        if self.is_firm(job) {
+            self.set_firm(job, true);
+        }
+    }
+
+    /// Counts the place of a job as firm, or no longer.
+    pub(super) fn set_firm(&mut self, job: Job, firm: bool) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if entry.firm == firm {
+            return;
+        }
+        entry.firm = firm;
+        let shape = entry.spec.shape;
+        self.ledger.change(
+            &entry.slots,
+            |worker| &mut worker.firm,
+            |room, mask| {
+                if firm {
+                    room.add(mask, &shape);
+                } else {
+                    room.subtract(mask, &shape);
+                }
+            },
+        );
+    }
+
+    /// Asks a running job to leave.
+    pub(super) fn stop(&mut self, job: Job, cause: Cause) -> Option<Effect> {
+        let entry = self.jobs.get_mut(&job)?;
+        if entry.state != State::Running {
+            return None;
+        }
+        entry.state = State::Leaving;
+        self.changed = true;
+        Some(Effect::Stop { job, attempt: entry.attempt, cause })
+    }
+
+    /// Takes a promised place back.
+    pub(super) fn unpromise(&mut self, job: Job) {
+        self.leave(None, job);
+    }
+
+    /// Takes a job off its place, held or promised; it waits again.
+    fn leave(&mut self, now: Option<Time>, job: Job) {
+        self.set_firm(job, false);
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let shape = entry.spec.shape;
+        let slots = std::mem::take(&mut entry.slots);
+        let state = std::mem::replace(&mut entry.state, State::Waiting);
+        entry.since = now.unwrap_or(entry.since);
+        match state {
+            State::Waiting => {}
+            State::Promised => self.ledger.change(
+                &slots,
+                |worker| &mut worker.promised,
+                |room, mask| room.subtract(mask, &shape),
+            ),
+            State::Running | State::Leaving => {
+                self.ledger.free(job, &slots, &shape);
+                if let Some(used) = self.used.get_mut(&entry.spec.workspace) {
+                    *used = used.saturating_sub(shape.total().0);
+                }
+            }
+        }
+        self.homes.unclaim(job);
+        self.promised.remove(&job);
+        self.waiting.insert(job);
+        self.changed = true;
+    }
+
+    fn forget(&mut self, job: Job) {
+        self.jobs.remove(&job);
+        self.waiting.remove(&job);
+        self.health.forget_job(job);
+        self.reservations.retain(|reservation| reservation.job != job);
+        self.changed = true;
+    }
+
+    /// Carries out a judgement of a worker.
+    pub(super) fn judged(&mut self, change: Change) -> Option<Effect> {
+        self.changed = true;
+        self.homes.unsettle();
+        let (Change::Quarantined(node) | Change::Probed(node) | Change::TakenBack(node)) = &change;
+        if let Some(key) = self.ledger.key(node) {
+            self.ledger.workers[key].quarantined = !matches!(change, Change::TakenBack(_));
+            if matches!(change, Change::Probed(_)) {
+                self.probed.insert(key);
+            } else {
+                self.probed.remove(&key);
+            }
+        }
+        match change {
+            Change::Quarantined(node) => Some(Effect::Quarantined { node }),
+            Change::TakenBack(node) => Some(Effect::TakenBack { node }),
+            Change::Probed(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/place/reserve.rs
@@ -0,0 +1,117 @@
+//! Reservations: when and where a large job that waits will fit.
+
+use slotmap::SecondaryMap;
+
+use super::fit;
+use super::ledger::{Room, Slot, Worker, WorkerKey};
+use super::planner::{Entry, Planner, State};
+use super::{Eviction, Spec};
+use crate::unit::{Job, Time};
+
+/// Reservations at one time, whatever the settings say.
+pub(super) const RESERVATIONS: usize = 8;
+
+/// A place that is kept for a waiting job from a time on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reservation {
+    /// The job.
+    pub job: Job,
+    /// When it is expected to be free.
+    pub at: Time,
+}
+
+/// The accelerators of each worker that are reserved, by reservation.
+#[derive(Debug, Default)]
+pub(super) struct Reserved {
+    masks: SecondaryMap<WorkerKey, [u64; RESERVATIONS]>,
+}
+
+impl Reserved {
+    /// Adds a reservation by its number.
+    pub fn add(&mut self, number: usize, slots: &[Slot]) {
+        for slot in slots {
+            if let Some(entry) = self.masks.entry(slot.worker) {
+                entry.or_default()[number] |= slot.mask;
+            }
+        }
+    }
+
+    /// Returns what is kept from a job that may use the reservations in `allowed`.
+    pub fn kept(&self, worker: WorkerKey, allowed: u8) -> u64 {
+        let Some(masks) = self.masks.get(worker) else {
+            return 0;
+        };
+        let mut kept = 0;
+        for (number, mask) in masks.iter().enumerate() {
+            if allowed & (1 << number) == 0 {
+                kept |= mask;
+            }
+        }
+        kept
+    }
+}
+
+impl Planner {
+    /// Returns the reservations, one bit each, that a job leaves in time.
+    pub(super) fn allowed(&self, now: Time, entry: &Entry) -> u8 {
+        let mut allowed = 0;
+        for (number, reservation) in self.reservations.iter().enumerate() {
+            let in_time = now + entry.left(now) <= reservation.at;
+            if in_time || entry.spec.eviction == Eviction::Checkpoint {
+                allowed |= 1 << number;
+            }
+        }
+        allowed
+    }
+
+    /// Returns when and where a job is expected to fit if nothing new starts.
+    pub(super) fn earliest(&self, now: Time, spec: &Spec) -> Option<(Time, Vec<Slot>)> {
+        let mut ends: Vec<Time> = Vec::new();
+        for (_, entry) in self.running() {
+            ends.push(now + entry.left(now));
+        }
+        ends.sort_unstable();
+        ends.dedup();
+        let fits = |at: Time| {
+            let room = |_: WorkerKey, worker: &Worker| self.room_at(now, at, worker, spec);
+            fit::find(&self.ledger, &spec.shape, room).map(|(slots, _)| slots)
+        };
+        let mut best = (*ends.last()?, fits(*ends.last()?)?);
+        let (mut low, mut high) = (0, ends.len() - 1);
+        while low < high {
+            let middle = usize::midpoint(low, high);
+            match fits(ends[middle]) {
+                Some(slots) => {
+                    best = (ends[middle], slots);
+                    high = middle;
+                }
+                None => low = middle + 1,
+            }
+        }
+        Some(best)
+    }
+
+    fn running(&self) -> impl Iterator<Item = (&Job, &Entry)> {
+        let holds = |entry: &Entry| matches!(entry.state, State::Running | State::Leaving);
+        self.jobs.iter().filter(move |(_, entry)| holds(entry))
+    }
+
+    /// Returns what a worker will offer at a later time.
+    fn room_at(&self, now: Time, at: Time, worker: &Worker, spec: &Spec) -> Room {
+        if !worker.healthy() {
+            return Room::default();
+        }
+        let mut room = worker.free();
+        for tenant in &worker.tenants {
+            if let Some(entry) = self.jobs.get(&tenant.job)
+                && now + entry.left(now) <= at
+            {
+                room.add(tenant.mask & !worker.promised.mask, &entry.spec.shape);
+            }
+        }
+        if spec.eviction == Eviction::Never {
+            room.mask &= !worker.home.mask;
+        }
+        room
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/place/start.rs
@@ -0,0 +1,312 @@
+//! One step of the planner: what starts, what leaves, what is reserved.
+
+use std::time::Duration;
+
+use super::fit;
+use super::ledger::{Room, Slot, Worker, WorkerKey};
+use super::planner::{Entry, Planner};
+use super::reserve::{RESERVATIONS, Reservation, Reserved};
+use super::{Cause, Class, Effect, Eviction, Reason, Shape};
+use crate::unit::{Job, Time};
+
+/// Pause between two looks at the waiting jobs when nothing has changed.
+const REVIEW: Duration = Duration::from_secs(1);
+/// Jobs of a step for which an eviction is weighed.
+const WEIGHED: usize = 4;
+
+/// Shapes that did not fit in this step, so that their like are not tried again.
+#[derive(Debug, Default)]
+struct Misses {
+    seen: Vec<(bool, u8, Shape)>,
+}
+
+impl Misses {
+    fn covers(&self, firm: bool, allowed: u8, shape: &Shape) -> bool {
+        let hopeless = |miss: &(bool, u8, Shape)| {
+            (firm || !miss.0) && allowed & !miss.1 == 0 && shape.covers(&miss.2)
+        };
+        self.seen.iter().any(hopeless)
+    }
+
+    fn add(&mut self, firm: bool, allowed: u8, shape: Shape) {
+        self.seen.push((firm, allowed, shape));
+    }
+}
+
+/// What one step has found out so far.
+#[derive(Debug, Default)]
+struct Pass {
+    misses: Misses,
+    reserved: Reserved,
+}
+
+impl Planner {
+    /// Starts what fits and makes room for what must start.
+    ///
+    /// A step in which nothing has changed costs nothing.
+    pub fn step(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.ledger.lapse(now) {
+            self.homes.unsettle();
+            self.changed = true;
+        }
+        for change in self.health.tick(now) {
+            effects.extend(self.judged(change));
+        }
+        let review = now.since(self.stepped) >= REVIEW && !self.waiting.is_empty();
+        let woken = self.wake.is_some_and(|wake| wake <= now);
+        if !self.changed && !review && !woken {
+            return effects;
+        }
+        self.changed = false;
+        self.stepped = now;
+        self.homes.settle(&mut self.ledger);
+        effects.extend(self.homes.tell());
+        self.start_all_promised(now, &mut effects);
+        let queue = self.queue(now);
+        self.wake = queue.wake;
+        let mut urgent: Vec<Job> = Vec::new();
+        for job in queue.claims {
+            if !self.start_claim(now, job, &mut effects) {
+                urgent.push(job);
+            }
+        }
+        urgent.extend(queue.urgent);
+        for job in urgent {
+            self.start_urgent(now, job, &mut effects);
+        }
+        self.start_others(now, &queue.others, &mut effects);
+        effects
+    }
+
+    /// Books a place and tells that the job starts.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        job: Job,
+        slots: Vec<Slot>,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        let seats = self.ledger.seats(&slots);
+        self.begin(now, job, slots, reason.clone());
+        if let Some(entry) = self.jobs.get(&job) {
+            effects.push(Effect::Start { job, attempt: entry.attempt, seats, reason });
+        }
+    }
+
+    fn start_urgent(&mut self, now: Time, job: Job, effects: &mut Vec<Effect>) {
+        let mut pass = Pass::default();
+        if self.start_one(now, job, &mut pass, effects) {
+            return;
+        }
+        let Some(spec) = self.jobs.get(&job).map(|entry| entry.spec.clone()) else {
+            return;
+        };
+        if !self.within_limit(&spec.workspace, &spec.shape) {
+            return;
+        }
+        let clearing = self.clear(now, &spec, |other| self.yields_to_urgent(&spec, other));
+        if let Some(clearing) = clearing {
+            self.promise(now, job, clearing.slots, Reason::Evicted, Cause::Urgent, effects);
+        }
+    }
+
+    fn start_others(&mut self, now: Time, jobs: &[Job], effects: &mut Vec<Effect>) {
+        let mut pass = Pass::default();
+        self.reservations.clear();
+        let aged = self.aged(now, jobs);
+        let limit = self.policy.reservations.min(RESERVATIONS);
+        for job in aged {
+            if self.reservations.len() == limit {
+                break;
+            }
+            if !self.start_one(now, job, &mut pass, effects) {
+                self.reserve(now, job, &mut pass, effects);
+            }
+        }
+        let mut weighed = 0;
+        for &job in jobs {
+            if !self.waiting.contains(&job) || self.start_one(now, job, &mut pass, effects) {
+                continue;
+            }
+            if weighed < WEIGHED && self.may_run(job) {
+                weighed += 1;
+                self.displace(now, job, effects);
+            }
+        }
+    }
+
+    /// Returns the jobs that have waited long, the longest first.
+    fn aged(&self, now: Time, jobs: &[Job]) -> Vec<Job> {
+        let after = Duration::from(self.policy.reserve_after);
+        let mut aged: Vec<(Time, Job)> = Vec::new();
+        for &job in jobs {
+            if let Some(entry) = self.jobs.get(&job)
+                && now.since(entry.since) >= after
+                && self.may_run(job)
+            {
+                aged.push((entry.since, job));
+            }
+        }
+        aged.sort_unstable();
+        aged.into_iter().map(|(_, job)| job).collect()
+    }
+
+    /// Returns whether neither its quota nor its shape keeps a job from running.
+    fn may_run(&self, job: Job) -> bool {
+        self.jobs.get(&job).is_some_and(|entry| {
+            entry.spec.shape.parts > 0
+                && self.within_limit(&entry.spec.workspace, &entry.spec.shape)
+        })
+    }
+
+    /// Starts a job where it fits without anybody leaving; returns whether it did.
+    fn start_one(
+        &mut self,
+        now: Time,
+        job: Job,
+        pass: &mut Pass,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&job) else {
+            return false;
+        };
+        if !self.may_run(job) {
+            return false;
+        }
+        let firm = self.is_firm(job);
+        let allowed = self.allowed(now, entry);
+        let shape = entry.spec.shape;
+        let picky = self.health.has_failed(job);
+        if !picky && pass.misses.covers(firm, allowed, &shape) {
+            return false;
+        }
+        let found = self
+            .probe(job, entry)
+            .or_else(|| self.find(job, &shape, firm, |key| pass.reserved.kept(key, allowed)));
+        let found = found.or_else(|| {
+            if firm {
+                self.squeeze(job, &shape, |key| pass.reserved.kept(key, allowed))
+            } else {
+                None
+            }
+        });
+        let Some((slots, reason)) = found else {
+            if !picky {
+                pass.misses.add(firm, allowed, shape);
+            }
+            return false;
+        };
+        self.start(now, job, slots, reason, effects);
+        true
+    }
+
+    /// Returns what a worker offers to a job.
+    fn room(&self, job: Job, worker: &Worker, firm: bool) -> Room {
+        let avoided = worker
+            .node
+            .as_ref()
+            .is_none_or(|node| self.health.failed_at(job).any(|failed| failed == node));
+        if !worker.healthy() || avoided {
+            return Room::default();
+        }
+        if firm { worker.firm_room() } else { worker.free() }
+    }
+
+    /// Finds a worker that waits for a probe, for a job that is fit to be one.
+    fn probe(&self, job: Job, entry: &Entry) -> Option<(Vec<Slot>, Reason)> {
+        let fit_for_probe = entry.spec.shape.parts == 1
+            && entry.spec.class == Class::Batch
+            && entry.spec.eviction != Eviction::Never
+            && !self.health.has_failed(job);
+        if self.probed.is_empty() || !fit_for_probe {
+            return None;
+        }
+        fit::find(&self.ledger, &entry.spec.shape, |key, worker| {
+            let idle = worker.tenants.is_empty() && worker.open && self.probed.contains(&key);
+            if idle { worker.free() } else { Room::default() }
+        })
+    }
+
+    /// Finds a place in what is free, without what is kept for reservations.
+    fn find(
+        &self,
+        job: Job,
+        shape: &Shape,
+        firm: bool,
+        kept: impl Fn(WorkerKey) -> u64,
+    ) -> Option<(Vec<Slot>, Reason)> {
+        fit::find(&self.ledger, shape, |key, worker| {
+            let mut room = self.room(job, worker, firm);
+            room.mask &= !kept(key);
+            room
+        })
+    }
+
+    /// Finds a place for a job that cannot be evicted, on homes that can move away.
+    fn squeeze(
+        &mut self,
+        job: Job,
+        shape: &Shape,
+        kept: impl Fn(WorkerKey) -> u64,
+    ) -> Option<(Vec<Slot>, Reason)> {
+        let (slots, reason) = self.find(job, shape, false, kept)?;
+        self.ledger.change(&slots, |w| &mut w.firm, |room, mask| room.add(mask, shape));
+        let moved = self.homes.yield_to(&mut self.ledger, &slots);
+        self.ledger.change(&slots, |w| &mut w.firm, |room, mask| room.subtract(mask, shape));
+        moved.then_some((slots, reason))
+    }
+
+    /// Makes room for a job that has waited long, or reserves a place for it.
+    fn reserve(&mut self, now: Time, job: Job, pass: &mut Pass, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let Some((at, slots)) = self.earliest(now, &entry.spec) else {
+            return;
+        };
+        let gain = entry.total() * at.since(now).as_secs_f64();
+        let clearing = self.clear(now, &entry.spec, |other| self.yields_to(now, entry, other));
+        if let Some(clearing) = clearing
+            && clearing.cost * self.policy.move_gain < gain
+        {
+            self.promise(now, job, clearing.slots, Reason::Evicted, Cause::Reserved, effects);
+            return;
+        }
+        pass.reserved.add(self.reservations.len(), &slots);
+        self.reservations.push(Reservation { job, at });
+    }
+
+    /// Lets a short job take the place of jobs that outlast it by far.
+    fn displace(&mut self, now: Time, job: Job, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let left = entry.left(now);
+        let outlasts = |other: Job| {
+            self.yields_to(now, entry, other)
+                && self.jobs[&other].left(now) >= left.mul_f64(self.policy.outlast)
+        };
+        let Some(clearing) = self.clear(now, &entry.spec, outlasts) else {
+            return;
+        };
+        if clearing.victims.is_empty() {
+            return;
+        }
+        let Some((at, _)) = self.earliest(now, &entry.spec) else {
+            return;
+        };
+        let count = u32::try_from(clearing.victims.len()).unwrap_or(u32::MAX);
+        let lost = (left + Duration::from(self.policy.move_cost)) * count;
+        if at.since(now) > lost.mul_f64(self.policy.move_gain) {
+            self.promise(now, job, clearing.slots, Reason::Evicted, Cause::Reserved, effects);
+        }
+    }
+
+    /// Returns whether a job may only stand where all guarantees still fit.
+    pub(super) fn is_firm(&self, job: Job) -> bool {
+        let never = |entry: &Entry| entry.spec.eviction == Eviction::Never;
+        self.jobs.get(&job).is_some_and(never) && self.homes.of(job).is_none()
+    }
+}
--- /dev/null
+++ b/persimmondrift/tests/guarantee_claims.rs
@@ -0,0 +1,234 @@
+//! Claims get their guaranteed shape back, whoever borrowed it.
+
+use persimmondrift::config::{Change, Config, Quota};
+use persimmondrift::guarantee::{self, Guarantee, Supply};
+use persimmondrift::intent;
+use persimmondrift::member::Capacity;
+use persimmondrift::place::{
+    Adjacency, Cause, Class, Effect, Eviction, Host, Planner, Policy, Promise, Shape, Spec,
+};
+use persimmondrift::unit::{
+    Accelerators, Connections, Cores, Job, Mebibytes, Millis, Node, Plan, Rack, Slots, Time,
+    Workspace, Zone,
+};
+
+const CAPACITY: Capacity = Capacity {
+    slots: Slots(8),
+    connections: Connections(64),
+    accelerators: Accelerators(8),
+    cores: Cores(32),
+    memory: Mebibytes(1 << 17),
+};
+const NOW: Time = Time(1_000_000);
+
+fn node(index: u32) -> Node {
+    Node::try_from(format!("worker-{index}")).expect("valid")
+}
+
+fn rack(index: u32) -> Rack {
+    Rack::try_from(format!("rack-{}", index / 3)).expect("valid")
+}
+
+fn workspace(name: &str) -> Workspace {
+    Workspace::try_from(name).expect("valid")
+}
+
+fn shape(parts: u16, accelerators: u32, adjacency: Adjacency) -> Shape {
+    let accelerators = Accelerators(accelerators);
+    Shape { parts, accelerators, cores: Cores(1), memory: Mebibytes(1), adjacency }
+}
+
+fn spec(name: &str, shape: Shape, eviction: Eviction, claim: bool) -> Spec {
+    Spec {
+        workspace: workspace(name),
+        kind: "render".parse().expect("valid"),
+        shape,
+        class: Class::Batch,
+        eviction,
+        run_ms: Millis(60_000),
+        claim,
+        zone: None,
+    }
+}
+
+fn planner(workers: u32, promises: &[(&str, Shape)]) -> Planner {
+    let mut planner = Planner::new(Policy::default());
+    for index in 0..workers {
+        planner.put_worker(&node(index), &rack(index), CAPACITY, true);
+    }
+    let promise = |&(name, shape): &(&str, Shape)| Promise { workspace: workspace(name), shape };
+    planner.set_guarantees(promises.iter().map(promise).collect());
+    planner
+}
+
+fn started(effects: &[Effect]) -> Vec<Job> {
+    let job = |effect: &Effect| match effect {
+        Effect::Start { job, .. } => Some(*job),
+        _ => None,
+    };
+    effects.iter().filter_map(job).collect()
+}
+
+/// Lets every attempt that was asked to stop leave, and steps again.
+fn leave(planner: &mut Planner, now: Time, effects: &[Effect]) -> Vec<Effect> {
+    for effect in effects {
+        if let Effect::Stop { job, attempt, .. } = effect {
+            planner.released(now, *job, *attempt);
+        }
+    }
+    planner.step(now)
+}
+
+#[test]
+fn claims_evict_borrowers_at_once() {
+    let whole = shape(3, 8, Adjacency::Rack);
+    let small = shape(1, 2, Adjacency::Worker);
+    let mut planner = planner(11, &[("studio", whole), ("desk", whole), ("desk", small)]);
+    for id in 0..88 {
+        let borrower = spec("batch", shape(1, 1, Adjacency::Worker), Eviction::Checkpoint, false);
+        planner.submit(NOW, Job(id), borrower);
+    }
+    assert_eq!(started(&planner.step(NOW)).len(), 88, "every accelerator is borrowed");
+    let claims = [("studio", whole), ("desk", whole), ("desk", small)];
+    for (id, (name, shape)) in claims.into_iter().enumerate() {
+        let id = 100 + u64::try_from(id).expect("small");
+        planner.submit(NOW, Job(id), spec(name, shape, Eviction::Never, true));
+    }
+    let stops = planner.step(NOW);
+    let claimed = |effect: &Effect| matches!(effect, Effect::Stop { cause: Cause::Claimed, .. });
+    assert!(stops.iter().all(claimed), "only stops in the first step");
+    assert_eq!(stops.len(), 24 + 24 + 2);
+    let starts = started(&leave(&mut planner, NOW, &stops));
+    assert_eq!(starts, [Job(100), Job(101), Job(102)]);
+}
+
+#[test]
+fn jobs_that_stay_keep_off_guarantees() {
+    let whole = shape(3, 8, Adjacency::Rack);
+    let mut planner = planner(6, &[("studio", whole)]);
+    for id in 0..6 {
+        let job = spec("desk", shape(1, 8, Adjacency::Worker), Eviction::Never, false);
+        planner.submit(NOW, Job(id), job);
+    }
+    assert_eq!(started(&planner.step(NOW)).len(), 3, "one rack stays for the guarantee");
+    planner.submit(NOW, Job(9), spec("studio", whole, Eviction::Never, true));
+    assert_eq!(started(&planner.step(NOW)), [Job(9)]);
+}
+
+#[test]
+fn claims_beyond_the_guarantee_wait() {
+    let whole = shape(1, 8, Adjacency::Worker);
+    let mut planner = planner(1, &[("studio", whole)]);
+    for id in 0..2 {
+        planner.submit(NOW, Job(id), spec("studio", whole, Eviction::Never, true));
+    }
+    assert_eq!(started(&planner.step(NOW)), [Job(0)]);
+    assert_eq!(planner.step(NOW), [], "the second claim has no guarantee left");
+}
+
+#[test]
+fn loss_of_workers_moves_guarantees_or_tells() {
+    let whole = shape(3, 8, Adjacency::Rack);
+    let mut planner = planner(6, &[("studio", whole)]);
+    assert_eq!(planner.step(NOW), []);
+    planner.remove_worker(NOW, &node(0));
+    assert_eq!(planner.step(NOW), [], "the guarantee has moved to the other rack");
+    planner.remove_worker(NOW, &node(3));
+    let risk = [Effect::AtRisk { workspace: workspace("studio"), shape: whole }];
+    assert_eq!(planner.step(NOW), risk);
+    planner.put_worker(&node(0), &rack(0), CAPACITY, true);
+    let back = [Effect::Restored { workspace: workspace("studio"), shape: whole }];
+    assert_eq!(planner.step(NOW), back);
+}
+
+#[test]
+fn claims_survive_the_loss_of_a_borrower() {
+    let whole = shape(3, 8, Adjacency::Rack);
+    let mut planner = planner(6, &[("studio", whole)]);
+    for id in 0..6 {
+        let job = spec("desk", shape(1, 8, Adjacency::Worker), Eviction::Stop, false);
+        planner.submit(NOW, Job(id), job);
+    }
+    planner.step(NOW);
+    planner.submit(NOW, Job(9), spec("studio", whole, Eviction::Never, true));
+    let stops = planner.step(NOW);
+    assert_eq!(stops.len(), 3);
+    let home = planner.kept()[0].seats.clone().expect("kept");
+    planner.remove_worker(NOW, &home[0].node);
+    let more = planner.step(NOW);
+    let mut all = stops;
+    all.extend(more);
+    let starts = started(&leave(&mut planner, NOW, &all));
+    assert_eq!(starts.first(), Some(&Job(9)), "on the other rack, before the borrowers");
+}
+
+fn supply(workers: u32) -> Supply {
+    let host = |index| Host { node: node(index), rack: rack(index), capacity: CAPACITY, firm: 0 };
+    let mut supply = Supply::default();
+    for name in ["sac-a1", "sac-a2"] {
+        let zone = Zone::try_from(name).expect("valid");
+        supply.zones.insert(zone, (0..workers).map(host).collect());
+    }
+    supply
+}
+
+fn put(name: &str, shapes: &[Shape]) -> Change {
+    let guarantee = |&shape: &Shape| Guarantee { shape, zone: None };
+    let quota =
+        Quota { guarantees: shapes.iter().map(guarantee).collect(), weight: 1, limit: None };
+    Change::PutWorkspace { workspace: workspace(name), quota }
+}
+
+#[test]
+fn plans_that_break_a_guarantee_are_refused() {
+    let rack_of = shape(3, 8, Adjacency::Rack);
+    let one = shape(1, 8, Adjacency::Worker);
+    let submit = |shape, eviction| Change::Submit {
+        job: Job(1),
+        spec: spec("studio", shape, eviction, false),
+    };
+    let zone = Zone::try_from("sac-a1").expect("valid");
+    let unfit = guarantee::Error::Unfit { workspace: workspace("studio"), shape: rack_of, zone };
+    let wide = shape(4, 8, Adjacency::Rack);
+    let cases: [(&str, Vec<Change>, Result<(), guarantee::Error>); 6] = [
+        ("one a zone", vec![put("studio", &[rack_of, rack_of])], Ok(())),
+        ("one too many", vec![put("studio", &[rack_of; 3])], Err(unfit)),
+        (
+            "wider than a rack",
+            vec![put("studio", &[wide])],
+            Err(guarantee::Error::Impossible { shape: wide }),
+        ),
+        (
+            "a job wider than a rack",
+            vec![put("studio", &[]), submit(wide, Eviction::Stop)],
+            Err(guarantee::Error::Impossible { shape: wide }),
+        ),
+        (
+            "a job that never leaves",
+            vec![put("studio", &[rack_of, rack_of]), submit(one, Eviction::Never)],
+            Err(guarantee::Error::Kept { shape: one }),
+        ),
+        (
+            "a job that leaves",
+            vec![put("studio", &[rack_of, rack_of]), submit(one, Eviction::Stop)],
+            Ok(()),
+        ),
+    ];
+    for (name, changes, expected) in cases {
+        let result = intent::plan(&Config::default(), &supply(3), Plan(1), changes);
+        assert_eq!(result.map(|_| ()), expected.map_err(intent::Error::Guarantee), "{name}");
+    }
+}
+
+#[test]
+fn plans_name_the_zone_of_guarantees() {
+    let rack_of = shape(3, 8, Adjacency::Rack);
+    let changes = vec![put("studio", &[rack_of, rack_of])];
+    let draft = intent::plan(&Config::default(), &supply(3), Plan(1), changes).expect("fits");
+    let Change::PutWorkspace { quota, .. } = &draft.changes[0] else {
+        panic!("the change is another one");
+    };
+    let zones: Vec<&str> =
+        quota.guarantees.iter().filter_map(|g| g.zone.as_ref()).map(Zone::as_str).collect();
+    assert_eq!(zones, ["sac-a1", "sac-a2"]);
+}
--- /dev/null
+++ b/persimmondrift/tests/place_invariants.rs
@@ -0,0 +1,276 @@
+//! No sequence of steps places an accelerator twice or takes the place of a guarantee.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use persimmondrift::member::Capacity;
+use persimmondrift::place::{
+    Adjacency, Class, Effect, Eviction, Outcome, Planner, Policy, Promise, Seat, Shape, Share, Spec,
+};
+use persimmondrift::unit::{
+    Accelerators, Attempt, Connections, Cores, Job, Mebibytes, Millis, Node, Rack, Slots, Time,
+    Workspace,
+};
+
+const WORKERS: u32 = 9;
+const LAPSE: Duration = Duration::from_millis(6_500);
+const CAPACITY: Capacity = Capacity {
+    slots: Slots(8),
+    connections: Connections(64),
+    accelerators: Accelerators(8),
+    cores: Cores(32),
+    memory: Mebibytes(1 << 17),
+};
+
+#[derive(Debug)]
+struct Running {
+    attempt: Attempt,
+    seats: Vec<Seat>,
+    leaving: bool,
+}
+
+/// The planner, and what a watcher of its effects believes.
+struct World {
+    planner: Planner,
+    now: Time,
+    specs: BTreeMap<Job, Spec>,
+    running: BTreeMap<Job, Running>,
+    up: BTreeMap<Node, bool>,
+    lapsing: Vec<(Node, u64, Time)>,
+    at_risk: usize,
+}
+
+fn node(index: u32) -> Node {
+    Node::try_from(format!("worker-{index}")).expect("valid")
+}
+
+fn workspace(index: u32) -> Workspace {
+    Workspace::try_from(format!("team-{index}")).expect("valid")
+}
+
+fn shape(u: &mut Unstructured) -> Result<Shape> {
+    Ok(Shape {
+        parts: u.int_in_range(1..=3)?,
+        accelerators: Accelerators(*u.choose(&[0, 1, 2, 4, 8])?),
+        cores: Cores(*u.choose(&[0, 2, 8, 32])?),
+        memory: Mebibytes(*u.choose(&[0, 1 << 10, 1 << 16])?),
+        adjacency: *u.choose(&[Adjacency::Worker, Adjacency::Rack, Adjacency::Zone])?,
+    })
+}
+
+fn spec(u: &mut Unstructured) -> Result<Spec> {
+    Ok(Spec {
+        workspace: workspace(u.int_in_range(0..=2)?),
+        kind: "render".parse().expect("valid"),
+        shape: shape(u)?,
+        class: *u.choose(&[Class::Urgent, Class::Interactive, Class::Batch])?,
+        eviction: *u.choose(&[Eviction::Checkpoint, Eviction::Stop, Eviction::Never])?,
+        run_ms: Millis(u.int_in_range(1..=600)? * 1_000),
+        claim: u.ratio(1, 4)?,
+        zone: None,
+    })
+}
+
+impl World {
+    fn put(&mut self, index: u32, open: bool) {
+        let rack = Rack::try_from(format!("rack-{}", index / 3)).expect("valid");
+        self.planner.put_worker(&node(index), &rack, CAPACITY, open);
+        self.up.insert(node(index), open);
+    }
+
+    fn apply(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Start { job, attempt, seats, .. } => self.started(job, attempt, seats),
+                Effect::Stop { job, attempt, .. } => {
+                    let running = self.running.get_mut(&job).expect("a running job is stopped");
+                    assert_eq!(running.attempt, attempt);
+                    assert!(!running.leaving, "job {job} is stopped twice");
+                    running.leaving = true;
+                }
+                Effect::AtRisk { .. } => self.at_risk += 1,
+                Effect::Restored { .. } => self.at_risk -= 1,
+                Effect::Quarantined { .. } | Effect::TakenBack { .. } => {}
+            }
+        }
+    }
+
+    fn started(&mut self, job: Job, attempt: Attempt, seats: Vec<Seat>) {
+        assert!(self.specs.contains_key(&job), "job {job} has ended");
+        assert_eq!(seats.len(), usize::from(self.specs[&job].shape.parts));
+        for seat in &seats {
+            let lapsed = |(at, mask, until): &(Node, u64, Time)| {
+                *at != seat.node || mask & seat.mask == 0 || *until <= self.now
+            };
+            assert!(self.lapsing.iter().all(lapsed), "a lease of {} has not lapsed", seat.node);
+            assert!(self.up.contains_key(&seat.node), "{} is lost", seat.node);
+        }
+        let before = self.running.insert(job, Running { attempt, seats, leaving: false });
+        assert!(before.is_none(), "two attempts of job {job}");
+    }
+
+    fn lose(&mut self, index: u32) {
+        let lost = node(index);
+        if self.up.remove(&lost).is_none() {
+            return;
+        }
+        // What stood there runs until its lease has lapsed, and no longer.
+        for running in self.running.values_mut() {
+            for seat in running.seats.extract_if(.., |seat| seat.node == lost) {
+                self.lapsing.push((seat.node, seat.mask, self.now + LAPSE));
+            }
+        }
+        let effects = self.planner.remove_worker(self.now, &lost);
+        self.apply(effects);
+    }
+
+    fn end(&mut self, u: &mut Unstructured) -> Result<()> {
+        let jobs: Vec<Job> = self.running.keys().copied().collect();
+        if jobs.is_empty() {
+            return Ok(());
+        }
+        let job = *u.choose(&jobs)?;
+        let running = self.running.remove(&job).expect("chosen");
+        if running.leaving && u.ratio(3, 4)? {
+            self.planner.released(self.now, job, running.attempt);
+        } else if u.ratio(1, 4)? {
+            let failed = running.seats.first().map_or(node(0), |seat| seat.node.clone());
+            let (_, effects) = self.planner.failed(self.now, job, running.attempt, &failed);
+            self.apply(effects);
+        } else {
+            let effects = self.planner.ended(self.now, job, Outcome::Finished);
+            self.apply(effects);
+        }
+        if !self.planner.knows(job) {
+            self.specs.remove(&job);
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, u: &mut Unstructured, next: &mut u64) -> Result<()> {
+        match u.int_in_range(0..=9)? {
+            0..=3 => {
+                *next += 1;
+                let spec = spec(u)?;
+                self.specs.insert(Job(*next), spec.clone());
+                self.planner.submit(self.now, Job(*next), spec);
+            }
+            4..=6 => self.end(u)?,
+            7 => {
+                let job = Job(u.int_in_range(0..=*next)?);
+                let effects = self.planner.cancel(job);
+                self.apply(effects);
+                if !self.planner.knows(job) {
+                    self.specs.remove(&job);
+                }
+            }
+            8 => self.lose(u.int_in_range(0..=WORKERS - 1)?),
+            _ => self.put(u.int_in_range(0..=WORKERS - 1)?, u.ratio(4, 5)?),
+        }
+        self.now = self.now + Duration::from_millis(u.int_in_range(0..=20_000)?);
+        let effects = self.planner.step(self.now);
+        self.apply(effects);
+        Ok(())
+    }
+
+    fn check(&self) {
+        let mut held: BTreeMap<Node, (u64, u32, u64)> = BTreeMap::new();
+        for (job, running) in &self.running {
+            let shape = self.specs[job].shape;
+            for seat in &running.seats {
+                let sum = held.entry(seat.node.clone()).or_default();
+                assert_eq!(sum.0 & seat.mask, 0, "an accelerator of {} is placed twice", seat.node);
+                assert_eq!(seat.mask.count_ones(), shape.accelerators.0);
+                *sum = (sum.0 | seat.mask, sum.1 + shape.cores.0, sum.2 + shape.memory.0);
+                assert!(sum.1 <= CAPACITY.cores.0, "too many cores of {}", seat.node);
+                assert!(sum.2 <= CAPACITY.memory.0, "too much memory of {}", seat.node);
+            }
+        }
+        self.check_guarantees();
+    }
+
+    fn check_guarantees(&self) {
+        let kept = self.planner.kept();
+        let missing = kept.iter().filter(|kept| kept.seats.is_none()).count();
+        assert_eq!(missing, self.at_risk, "a guarantee is at risk and nobody was told");
+        let mut homes: BTreeMap<Node, (u64, u32)> = BTreeMap::new();
+        let claims: BTreeSet<Job> = kept.iter().filter_map(|kept| kept.claim).collect();
+        for kept in &kept {
+            let shape = kept.promise.shape;
+            let seats = kept.seats.as_deref().unwrap_or_default();
+            assert!(seats.is_empty() || seats.len() == usize::from(shape.parts));
+            for seat in seats {
+                let home = homes.entry(seat.node.clone()).or_default();
+                assert_eq!(home.0 & seat.mask, 0, "two guarantees on one accelerator");
+                *home = (home.0 | seat.mask, home.1 + shape.cores.0);
+                assert!(kept.claim.is_some() || self.up[&seat.node], "kept on a closed worker");
+            }
+        }
+        for (job, running) in &self.running {
+            let spec = &self.specs[job];
+            if spec.eviction != Eviction::Never || claims.contains(job) || running.leaving {
+                continue;
+            }
+            for seat in running.seats.iter().filter(|seat| self.up.contains_key(&seat.node)) {
+                let home = homes.entry(seat.node.clone()).or_default();
+                assert_eq!(home.0 & seat.mask, 0, "job {job} cannot be evicted from a guarantee");
+                home.1 += spec.shape.cores.0;
+            }
+        }
+        for (node, (_, cores)) in &homes {
+            assert!(*cores <= CAPACITY.cores.0, "{node} has {cores} cores kept");
+        }
+    }
+}
+
+fn guarantees() -> Vec<Promise> {
+    let shape = |parts, accelerators, adjacency| Shape {
+        parts,
+        accelerators: Accelerators(accelerators),
+        cores: Cores(8),
+        memory: Mebibytes(1 << 10),
+        adjacency,
+    };
+    let promise = |index, shape| Promise { workspace: workspace(index), shape };
+    vec![
+        promise(0, shape(2, 8, Adjacency::Rack)),
+        promise(1, shape(3, 4, Adjacency::Zone)),
+        promise(1, shape(1, 8, Adjacency::Worker)),
+    ]
+}
+
+fn run(u: &mut Unstructured) -> Result<()> {
+    let policy = if u.arbitrary()? { Policy::completion() } else { Policy::fragmentation() };
+    let mut world = World {
+        planner: Planner::new(policy),
+        now: Time::from_secs(1),
+        specs: BTreeMap::new(),
+        running: BTreeMap::new(),
+        up: BTreeMap::new(),
+        lapsing: Vec::new(),
+        at_risk: 0,
+    };
+    for index in 0..WORKERS {
+        world.put(index, true);
+    }
+    world.planner.set_guarantees(guarantees());
+    for index in 0..3 {
+        world.planner.set_share(workspace(index), Share { weight: 1 + index, limit: None });
+    }
+    let mut next = 0;
+    while !u.is_empty() {
+        world.act(u, &mut next)?;
+        world.check();
+    }
+    Ok(())
+}
+
+#[test]
+fn accelerators_and_guarantees_hold() {
+    const ENTROPY: u64 = 1 << 12;
+    for seed in 1..=40_u64 {
+        arbtest(run).seed(seed << 32 | ENTROPY);
+    }
+}
--- /dev/null
+++ b/persimmondrift/tests/worker_health.rs
@@ -0,0 +1,113 @@
+//! Who is at fault: a job that fails everywhere, a worker that fails everything, or both.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use persimmondrift::health::{Change, Health, Verdict};
+use persimmondrift::unit::{Job, Node, Time};
+
+const WORKERS: u32 = 11;
+
+fn node(index: u32) -> Node {
+    Node::try_from(format!("worker-{index}")).expect("valid")
+}
+
+/// Which jobs and workers were judged.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Judged {
+    jobs: BTreeSet<u64>,
+    workers: BTreeSet<Node>,
+}
+
+/// Runs jobs on workers in turn; each avoids the workers it failed at.
+fn run(jobs: u64, bad_jobs: &[u64], bad_workers: &[u32]) -> Judged {
+    let mut health = Health::default();
+    let mut judged = Judged::default();
+    let mut left: BTreeMap<u64, BTreeSet<u32>> = (0..jobs).map(|j| (j, BTreeSet::new())).collect();
+    let mut turn = 0;
+    for round in 0..200 {
+        for id in left.keys().copied().collect::<Vec<_>>() {
+            turn += 1;
+            let place = (turn..turn + WORKERS).map(|index| index % WORKERS).find(|index| {
+                !left[&id].contains(index) && !judged.workers.contains(&node(*index))
+            });
+            let Some(place) = place else {
+                continue;
+            };
+            let (job, now) = (Job(id), Time::from_secs(round));
+            if bad_jobs.contains(&id) || bad_workers.contains(&place) {
+                left.get_mut(&id).expect("left").insert(place);
+                let (verdict, change) =
+                    health.failed(now, job, &node(place), usize::try_from(WORKERS).expect("small"));
+                if let Some(Change::Quarantined(node)) = change {
+                    judged.workers.insert(node);
+                }
+                if verdict == Verdict::AtFault {
+                    judged.jobs.insert(id);
+                    left.remove(&id);
+                }
+            } else {
+                assert_eq!(health.finished(&node(place)), None);
+                health.forget_job(job);
+                left.remove(&id);
+            }
+        }
+    }
+    assert!(left.is_empty(), "jobs without an end: {left:?}");
+    judged
+}
+
+#[test]
+fn faults_are_told_apart() {
+    let cases: [(&str, u64, &[u64], &[u32]); 6] = [
+        ("nothing fails", 40, &[], &[]),
+        ("one job", 40, &[7], &[]),
+        ("several jobs", 40, &[3, 17, 25], &[]),
+        ("one worker", 40, &[], &[4]),
+        ("one of each", 40, &[7], &[4]),
+        ("several of both", 60, &[2, 5, 31], &[0, 6]),
+    ];
+    for (name, jobs, bad_jobs, bad_workers) in cases {
+        let expected = Judged {
+            jobs: bad_jobs.iter().copied().collect(),
+            workers: bad_workers.iter().map(|&index| node(index)).collect(),
+        };
+        assert_eq!(run(jobs, bad_jobs, bad_workers), expected, "{name}");
+    }
+}
+
+#[test]
+fn quarantined_workers_are_probed_and_taken_back() {
+    let mut health = Health::default();
+    let bad = node(0);
+    let fail = |health: &mut Health, now, id| health.failed(now, Job(id), &bad, 11).1;
+    assert_eq!(fail(&mut health, Time(0), 1), None);
+    assert_eq!(fail(&mut health, Time(0), 2), None);
+    assert_eq!(fail(&mut health, Time(0), 3), Some(Change::Quarantined(bad.clone())));
+    let first = Time(0) + Duration::from_mins(1);
+    assert_eq!(health.tick(Time(1)), []);
+    assert_eq!(health.tick(first), [Change::Probed(bad.clone())]);
+    assert_eq!(
+        fail(&mut health, first, 4),
+        Some(Change::Quarantined(bad.clone())),
+        "one is enough"
+    );
+    assert_eq!(health.tick(first + Duration::from_mins(1)), [], "the second time is longer");
+    assert_eq!(health.tick(first + Duration::from_mins(2)), [Change::Probed(bad.clone())]);
+    assert_eq!(health.finished(&bad), Some(Change::TakenBack(bad.clone())));
+    assert_eq!(fail(&mut health, first, 5), None, "its record is clean");
+}
+
+#[test]
+fn few_workers_are_quarantined_at_once() {
+    let mut health = Health::default();
+    let mut quarantined = 0;
+    for index in 0..WORKERS {
+        for id in 0..3 {
+            let job = Job(u64::from(index) * 3 + id);
+            let (_, change) = health.failed(Time(0), job, &node(index), 11);
+            quarantined += u32::from(change.is_some());
+        }
+    }
+    assert_eq!(quarantined, 2, "a fault of all workers is no fault of each");
+}
