State a guarantee as the fields of its shape and its zone

Cause: declarations in files state a guarantee as a flat table, and three tests of declaration_diff failed once a guarantee had become a shape with a zone. A flattened field was ruled out, since the binary codec cannot carry one. The zone that a plan chose would also have made every later comparison report a change.

Conclusion: guarantees read and write flat, a stated quota without zones equals the one in force; declaration_diff passes unchanged, 4 of 4.

--- a/persimmondrift/src/config.rs
+++ b/persimmondrift/src/config.rs
@@ -23,6 +23,20 @@
     pub limit: Option<Accelerators>,
 }
 
+impl Quota {
+    /// Returns whether this is what was stated, where a zone that is not stated may be any.
+    #[must_use]
+    pub fn is_as_stated(&self, stated: &Self) -> bool {
+        let same = |(held, stated): (&Guarantee, &Guarantee)| {
+            held.shape == stated.shape && (stated.zone.is_none() || held.zone == stated.zone)
+        };
+        self.weight == stated.weight
+            && self.limit == stated.limit
+            && self.guarantees.len() == stated.guarantees.len()
+            && self.guarantees.iter().zip(&stated.guarantees).all(same)
+    }
+}
+
 fn one() -> u32 {
     1
 }
--- a/persimmondrift/src/guarantee.rs
+++ b/persimmondrift/src/guarantee.rs
@@ -5,20 +5,48 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Config, Quota};
-use crate::place::{self, Eviction, Host, Promise, Shape, Spec};
-use crate::unit::{Accelerators, Job, Workspace, Zone};
+use crate::place::{self, Adjacency, Eviction, Host, Promise, Shape, Spec};
+use crate::unit::{Accelerators, Cores, Job, Mebibytes, Workspace, Zone};
 
 /// A shape that a workspace gets whenever it claims it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(from = "Fields", into = "Fields")]
 pub struct Guarantee {
     /// The shape.
     pub shape: Shape,
     /// The availability zone in which it is kept; chosen by the plan if unstated.
-    #[serde(default)]
     pub zone: Option<Zone>,
 }
 
+/// A guarantee as files and messages state it: the fields of its shape, and the zone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Fields {
+    parts: u16,
+    accelerators: Accelerators,
+    #[serde(default)]
+    cores: Cores,
+    #[serde(default)]
+    memory: Mebibytes,
+    adjacency: Adjacency,
+    #[serde(default)]
+    zone: Option<Zone>,
+}
+
+impl From<Fields> for Guarantee {
+    fn from(fields: Fields) -> Self {
+        let Fields { parts, accelerators, cores, memory, adjacency, zone } = fields;
+        Self { shape: Shape { parts, accelerators, cores, memory, adjacency }, zone }
+    }
+}
+
+impl From<Guarantee> for Fields {
+    fn from(guarantee: Guarantee) -> Self {
+        let Shape { parts, accelerators, cores, memory, adjacency } = guarantee.shape;
+        Self { parts, accelerators, cores, memory, adjacency, zone: guarantee.zone }
+    }
+}
+
 /// The healthy workers of each availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Supply {
