--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod entry;
 pub mod event;
 pub mod gang;
+pub mod guarantee;
+pub mod health;
 pub mod intent;
 pub mod limit;
 pub mod member;
