Explain what a job does or waits for

Cause: persimmonctl explain knew only free accelerators. The entry that plans a zone now answers GET /v1/jobs/ID with the planner's own reason; the command line asks all entries. Attempts that are over are counted by ending.

--- a/persimmonctl/src/client.rs
+++ b/persimmonctl/src/client.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use persimmondrift::adapter::operator::{Status, Told};
+use persimmondrift::adapter::operator::{Explained, Status, Told};
 use persimmondrift::config::Change;
 use persimmondrift::intent::Draft;
-use persimmondrift::unit::{Plan, Version};
+use persimmondrift::unit::{Job, Plan, Version};
 use serde::Deserialize;
 
 use crate::argument::Request;
@@ -69,6 +69,32 @@
         whole.ok_or_else(|| Error::NoEntry(failures.join(", ")))
     }
 
+    /// Returns what all entries know of a job.
+    pub fn explain(&self, job: Job) -> Result<Explained, Error> {
+        let mut whole: Option<Explained> = None;
+        let mut failures = Vec::new();
+        for &entry in &self.request.entries {
+            match self.call(entry, &format!("/v1/jobs/{job}"), None) {
+                Ok(Told::Explained(told)) => match &mut whole {
+                    None => whole = Some(*told),
+                    Some(whole) => {
+                        whole.outcome = whole.outcome.or(told.outcome);
+                        whole.spec = whole.spec.take().or(told.spec);
+                        whole.zones.extend(told.zones);
+                    }
+                },
+                Ok(_) => return Err(Error::Answer(entry)),
+                Err(Error::NoEntry(text)) => failures.push(text),
+                Err(error) => return Err(error),
+            }
+        }
+        let told = whole.ok_or_else(|| Error::NoEntry(failures.join(", ")))?;
+        if told.outcome.is_none() && told.spec.is_none() {
+            return Err(Error::NoJob(job));
+        }
+        Ok(told)
+    }
+
     /// Calls the entries in turn until one knows the answer.
     fn first(&self, path: &str, body: Option<&[u8]>) -> Result<(SocketAddr, Told), Error> {
         let mut failures = Vec::new();
--- a/persimmonctl/src/command.rs
+++ b/persimmonctl/src/command.rs
@@ -71,7 +71,7 @@
             print(request, out, &claims, || show::claim_table(&claims))
         }
         Command::Explain(job) => {
-            let explained = show::explain(&client.status()?, *job).ok_or(Error::NoJob(*job))?;
+            let explained = client.explain(*job)?;
             print(request, out, &explained, || show::explained(&explained))
         }
     }
--- a/persimmonctl/src/show.rs
+++ b/persimmonctl/src/show.rs
@@ -2,10 +2,10 @@
 
 use std::fmt::{Display, Write};
 
-use persimmondrift::adapter::operator::{Agent, Status};
+use persimmondrift::adapter::operator::{Agent, Explained, Status};
 use persimmondrift::config::Config;
 use persimmondrift::intent::Draft;
-use persimmondrift::place::{Outcome, Spec, Summary};
+use persimmondrift::place::{Outcome, Spec};
 use persimmondrift::unit::{Job, Plan, Version, Workspace};
 use serde::Serialize;
 
@@ -32,15 +32,6 @@
     claimed_by: Vec<Job>,
 }
 
-/// What is known of one job.
-#[derive(Debug, Serialize)]
-pub struct Explained {
-    job: Job,
-    outcome: Option<Outcome>,
-    spec: Option<Spec>,
-    zones: Vec<(String, Summary)>,
-}
-
 /// Lays out rows in columns, the first row as the head.
 fn table(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
@@ -158,16 +149,6 @@
     table(&rows)
 }
 
-/// Returns what is known of a job.
-pub fn explain(status: &Status, job: Job) -> Option<Explained> {
-    let outcome = status.ended.iter().find(|(ended, _)| *ended == job).map(|(_, how)| *how);
-    let spec = status.config.jobs.get(&job).cloned();
-    if outcome.is_none() && spec.is_none() {
-        return None;
-    }
-    Some(Explained { job, outcome, spec, zones: status.zones.clone() })
-}
-
 /// Shows what is known of a job.
 pub fn explained(explained: &Explained) -> String {
     let job = explained.job;
@@ -182,9 +163,11 @@
         "job {job} of {} is accepted and needs {} parts with {} accelerators each\n",
         spec.workspace, shape.parts, shape.accelerators
     );
-    for (zone, summary) in &explained.zones {
-        let (free, waiting) = (summary.free, summary.waiting);
-        let _ = writeln!(text, "  zone {zone}: {free} accelerators free, {waiting} jobs waiting");
+    for (zone, state) in &explained.zones {
+        let _ = writeln!(text, "  zone {zone}: {state}");
+    }
+    if explained.zones.is_empty() {
+        text.push_str("  no entry that answered plans a zone that it may run in\n");
     }
     text
 }
--- a/persimmonctl/tests/command_line.rs
+++ b/persimmonctl/tests/command_line.rs
@@ -27,7 +27,7 @@
 kind = \"render\"
 class = \"interactive\"
 eviction = \"checkpoint\"
-run_ms = 1000
+run_ms = 3000
 shape = { parts = 2, accelerators = 8, adjacency = \"rack\" }
 ";
 
@@ -122,6 +122,7 @@
     assert_eq!((confirmed.code, confirmed.out.contains("version 1")), (0, true), "{confirmed:?}");
     let again = site.run(&["confirm", &plan_id(&planned.out)]);
     assert_eq!((again.code, again.out.contains("version 1")), (0, true), "{again:?}");
+    site.wait(&["explain", "7"], |out| out.contains("runs as attempt 1"));
     site.wait(&["jobs"], |out| out.contains("finished"));
     let explained = site.run(&["explain", "7"]);
     assert!(explained.out.contains("finished"), "{explained:?}");
--- a/persimmondrift/src/adapter/operator.rs
+++ b/persimmondrift/src/adapter/operator.rs
@@ -7,10 +7,10 @@
 use super::{BodyError, read_body};
 use crate::config::{Change, Config};
 use crate::intent::{self, Draft};
-use crate::place::Summary;
+use crate::place::{Outcome, Spec, Summary};
 use crate::settings::Token;
 use crate::store;
-use crate::unit::{Operator, Plan, Version};
+use crate::unit::{Job, Operator, Plan, Version, Zone};
 
 /// A call of an operator, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     Confirm(Plan, Operator),
     /// Asks for the state of the system.
     Status,
+    /// Asks what a job does or waits for.
+    Explain(Job),
 }
 
 /// What an operator is told.
@@ -33,6 +35,21 @@
     Confirmed(Version),
     /// The state of the system.
     Status(Box<Status>),
+    /// What is known of a job.
+    Explained(Box<Explained>),
+}
+
+/// What one entry knows of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Explained {
+    /// The job.
+    pub job: Job,
+    /// How it ended, as far as this entry remembers.
+    pub outcome: Option<Outcome>,
+    /// What it needs, if it has not ended.
+    pub spec: Option<Spec>,
+    /// What it does or waits for in each zone that this entry plans.
+    pub zones: Vec<(Zone, String)>,
 }
 
 /// The state of the system as one entry sees it.
@@ -45,7 +62,7 @@
     /// The planner of each zone whose role this entry holds.
     pub zones: Vec<(String, Summary)>,
     /// The jobs that ended, and how, as far as this entry remembers.
-    pub ended: Vec<(crate::unit::Job, crate::place::Outcome)>,
+    pub ended: Vec<(Job, Outcome)>,
 }
 
 /// An agent as one entry sees it.
@@ -100,6 +117,7 @@
     let operator = authorize(request, tokens)?;
     match (request.method(), path.as_slice()) {
         ("GET", ["v1", "status"]) => Ok(Ask::Status),
+        ("GET", ["v1", "jobs", job]) => job.parse().map(Ask::Explain).map_err(|_| Refusal::Call),
         ("POST", ["v1", "plans"]) => {
             let body = read_body(request)?;
             let changes = serde_json::from_slice(&body)
--- a/persimmondrift/src/entry/operate.rs
+++ b/persimmondrift/src/entry/operate.rs
@@ -1,11 +1,12 @@
 //! Operators' calls: plan, confirm, status.
 
+use super::role::Role;
 use super::{Shared, table};
-use crate::adapter::operator::{Agent, Ask, Refusal, Status, Told};
+use crate::adapter::operator::{Agent, Ask, Explained, Refusal, Status, Told};
 use crate::config::Change;
 use crate::intent;
 use crate::store::Outcome;
-use crate::unit::{Operator, Plan, Version};
+use crate::unit::{Job, Operator, Plan, Version, Zone};
 
 /// Answers an operator's call.
 ///
@@ -16,6 +17,7 @@
     match ask {
         Ask::Plan(changes) => plan(shared, changes),
         Ask::Confirm(plan, operator) => confirm(shared, plan, &operator).map(Told::Confirmed),
+        Ask::Explain(job) => Ok(Told::Explained(Box::new(explain(shared, job)))),
         Ask::Status => Ok(Told::Status(Box::new(status(shared)))),
     }
 }
@@ -56,6 +58,18 @@
     Ok(record.version)
 }
 
+fn explain(shared: &Shared, job: Job) -> Explained {
+    let now = shared.now();
+    let core = shared.core();
+    let known = |(zone, role): (&Zone, &Role)| Some((zone.clone(), role.explain(now, job)?));
+    Explained {
+        job,
+        outcome: core.ended.iter().find(|(ended, _)| *ended == job).map(|(_, how)| *how),
+        spec: core.config.jobs.get(&job).cloned(),
+        zones: core.roles.iter().filter_map(known).collect(),
+    }
+}
+
 fn status(shared: &Shared) -> Status {
     let core = shared.core();
     let mut agents = Vec::new();
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -9,6 +9,7 @@
 use crate::guarantee;
 use crate::health::Verdict;
 use crate::member::{Announce, State};
+use crate::metric;
 use crate::place::{self, Outcome, Planner, Share, Spec, Summary};
 use crate::unit::{Attempt, Epoch, Job, Node, Time, Zone};
 
@@ -174,6 +175,12 @@
         self.planner.summary()
     }
 
+    /// Returns what a job does or waits for, if it is known here.
+    #[must_use]
+    pub fn explain(&self, now: Time, job: Job) -> Option<String> {
+        self.planner.explain(now, job).map(|wait| wait.to_string())
+    }
+
     fn decide(&mut self, now: Time, decisions: Vec<place::Effect>) -> Vec<Effect> {
         let mut asked = Vec::new();
         for decision in decisions {
@@ -216,6 +223,7 @@
                     task: Try { job, attempt },
                 }),
                 gang::Effect::Over { job, attempt, ending } => {
+                    metric::attempt_over(&ending);
                     crate::log!(AttemptOver, "job {job} attempt {attempt}: {ending:?}");
                     effects.extend(self.over(now, job, attempt, &ending));
                 }
--- a/persimmondrift/src/metric.rs
+++ b/persimmondrift/src/metric.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::event::{ALL, Event};
+use crate::gang::Ending;
 use crate::place::Class;
 use crate::store::{Calls, Error, Outcome};
 
@@ -20,6 +21,7 @@
 
 static EVENT_COUNTS: [AtomicU64; EVENTS] = [const { AtomicU64::new(0) }; EVENTS];
 static LOG_DROPPED: AtomicU64 = AtomicU64::new(0);
+static ATTEMPTS: [AtomicU64; 3] = [const { AtomicU64::new(0) }; 3];
 static PANICS: AtomicU64 = AtomicU64::new(0);
 
 /// Name and help of a metric.
@@ -83,6 +85,16 @@
     LOG_DROPPED.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Counts an attempt of a job that is over.
+pub fn attempt_over(ending: &Ending) {
+    let index = match ending {
+        Ending::Finished => 0,
+        Ending::Failed(_) => 1,
+        Ending::Stopped => 2,
+    };
+    ATTEMPTS[index].fetch_add(1, Ordering::Relaxed);
+}
+
 /// Counts a panic.
 pub fn panicked() {
     PANICS.fetch_add(1, Ordering::Relaxed);
@@ -259,6 +271,10 @@
         let number = format!("E{}", event as u16);
         events.with_label_values(&[number]).inc_by(self::events(event));
     }
+    let attempts = counters(&common, ATTEMPTS_TOTAL, &["ending"]);
+    for (word, count) in ["finished", "failed", "stopped"].iter().zip(&ATTEMPTS) {
+        attempts.with_label_values(&[word]).inc_by(count.load(Ordering::Relaxed));
+    }
     counter(&common, LOG_DROPPED_TOTAL).inc_by(LOG_DROPPED.load(Ordering::Relaxed));
     counter(&common, PANICS_TOTAL).inc_by(PANICS.load(Ordering::Relaxed));
     let mut families = common.gather();
