--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Shared;
 use super::core::Fetched;
@@ -62,8 +62,9 @@
         }
         let body = match frame.body {
             Body::Call(call) => {
-                let request = call.ticket.request;
+                let (request, class, begin) = (call.ticket.request, call.class, Instant::now());
                 let outcome = if spare { refuse(shared, &call) } else { admit(shared, call) };
+                shared.metrics.request(outcome.word(), class, begin.elapsed());
                 let now = shared.now();
                 let load = shared.core().load(now);
                 Body::Outcome(request, outcome, load)
