--- /dev/null
+++ b/persimmon-load/tests/bad_input.rs
@@ -0,0 +1,180 @@
+//! Bad input to running processes gets a typed answer and a numbered event, and ends nothing.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
+use std::thread;
+use std::time::Duration;
+
+use persimmon_load::bench::{Bench, Layout};
+use persimmondrift::event::Event;
+use persimmondrift::metric;
+use persimmondrift::unit::Region;
+use persimmondrift::wire::{DATAGRAM_BYTES, FORMAT, FRAME_BYTES};
+use standin::caller::Caller;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+const TRIES: usize = 500;
+const SERVICE: &str = "taller-app";
+
+fn bench() -> Bench {
+    let layout = Layout {
+        service: SERVICE.parse().expect("valid"),
+        regions: vec![Region::try_from("sac-a").expect("valid")],
+        entries: 1,
+        workers: 1,
+        service_time: Duration::ZERO,
+    };
+    let bench = Bench::start(&layout).expect("started");
+    still_serves(&bench);
+    bench
+}
+
+fn still_serves(bench: &Bench) {
+    let caller = Caller::new(bench.entries[0].callers(), TIMEOUT);
+    let answered = (0..TRIES).any(|_| {
+        let reply = caller.post(SERVICE, "probe", TIMEOUT, b"whole");
+        let answered = reply.is_ok_and(|reply| reply.body == b"POST probe\nwhole");
+        if !answered {
+            thread::sleep(POLL);
+        }
+        answered
+    });
+    assert!(answered, "no request is answered any more");
+    assert!(!bench.entries[0].failed() && !bench.seats[0].agent.failed(), "a thread ended");
+}
+
+fn wait_for(event: Event, above: u64) {
+    for _ in 0..TRIES {
+        if metric::events(event) > above {
+            return;
+        }
+        thread::sleep(POLL);
+    }
+    panic!("no {event} was logged");
+}
+
+/// Sends bytes over TCP, ends the sending half, and reads what comes back.
+fn send(to: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(to).expect("connected");
+    stream.set_read_timeout(Some(TIMEOUT)).expect("set");
+    // The peer may close before it has read everything: that is an answer, too.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut reply = Vec::new();
+    match stream.read_to_end(&mut reply) {
+        Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+            panic!("the peer neither answers nor closes")
+        }
+        _ => reply,
+    }
+}
+
+#[test]
+fn bad_frames_end_nothing() {
+    let bench = bench();
+    let peers = [bench.entries[0].address(), bench.seats[0].agent.address()];
+    let over = u32::try_from(FRAME_BYTES + 1).expect("fits").to_be_bytes();
+    let garbage = [&[0, 0, 0, 9, FORMAT][..], &[0xff; 8]].concat();
+    let streams: [(&str, &[u8], bool); 5] = [
+        ("over the bound", &over, true),
+        ("malformed", &garbage, true),
+        ("empty frame", &[0; 4], true),
+        ("cut length", &[0, 0], false),
+        ("http", b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", true),
+    ];
+    for peer in peers {
+        for (name, bytes, logged) in streams {
+            let before = metric::events(Event::FrameRefused);
+            assert_eq!(send(peer, bytes), b"", "{name}");
+            if logged {
+                wait_for(Event::FrameRefused, before);
+            }
+        }
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
+        for datagram in [&b""[..], &[FORMAT], &[FORMAT + 1, 1, 2], &[0xff; DATAGRAM_BYTES]] {
+            let before = metric::events(Event::FrameRefused);
+            socket.send_to(datagram, peer).expect("sent");
+            wait_for(Event::FrameRefused, before);
+        }
+        still_serves(&bench);
+    }
+    bench.stop();
+}
+
+fn status(reply: &[u8]) -> String {
+    let text = String::from_utf8_lossy(reply);
+    text.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+#[test]
+fn bad_requests_are_answered() {
+    let bench = bench();
+    let (callers, operators) = (bench.entries[0].callers(), bench.entries[0].operators());
+    let head = |path: &str, headers: &str| {
+        format!("POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n{headers}\r\n")
+    };
+    let large = format!(
+        "{}{}",
+        head("/taller-app/x", "Content-Length: 1048577\r\n"),
+        "x".repeat(1_048_577)
+    );
+    let cut = head("/taller-app/x", "Content-Length: 500000\r\n") + "only this";
+    let class = head("/taller-app/x", "Persimmon-Class: soon\r\nContent-Length: 0\r\n");
+    let timeout = head("/taller-app/x", "Persimmon-Timeout-Ms: 0\r\nContent-Length: 0\r\n");
+    let key = head("/taller-app/x", "Idempotency-Key: \r\nContent-Length: 0\r\n");
+    let service = head("/No%20Service/x", "Content-Length: 0\r\n");
+    let token = head("/v1/plans", "Content-Length: 2\r\n") + "[]";
+    let malformed =
+        head("/v1/plans", "Authorization: Bearer loopback-only\r\nContent-Length: 2\r\n") + "{]";
+    // Name, address, bytes, status, the event that is logged.
+    let cases = [
+        ("too large", callers, large, "413", Event::RequestRefused),
+        ("cut off", callers, cut, "400", Event::RequestRefused),
+        ("class", callers, class, "400", Event::RequestRefused),
+        ("timeout", callers, timeout, "400", Event::RequestRefused),
+        ("key", callers, key, "400", Event::RequestRefused),
+        ("service", callers, service, "404", Event::RequestRefused),
+        ("token", operators, token, "401", Event::IntentRefused),
+        ("intent", operators, malformed, "400", Event::IntentRefused),
+    ];
+    for (name, to, bytes, wanted, event) in cases {
+        let before = metric::events(event);
+        let reply = send(to, bytes.as_bytes());
+        assert_eq!(status(&reply), wanted, "{name}: {}", String::from_utf8_lossy(&reply));
+        wait_for(event, before);
+    }
+    for garbage in [&b"\xff\xfe\x00\x01\r\n\r\n"[..], b"GET\r\n\r\n", b"\r\n", b""] {
+        let reply = send(callers, garbage);
+        assert!(reply.is_empty() || status(&reply) == "400", "{garbage:?}");
+    }
+    still_serves(&bench);
+    bench.stop();
+}
+
+#[test]
+fn slow_senders_delay_nobody() {
+    /// More than an entry answers at once.
+    const SENDERS: usize = 300;
+    let bench = bench();
+    let parts: [&[u8]; 2] = [
+        b"POST /taller-app/x HTTP/1.1\r\nHost",
+        b"POST /taller-app/x HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\nfirst",
+    ];
+    for part in parts {
+        let mut held = Vec::new();
+        for _ in 0..SENDERS {
+            let mut stream = TcpStream::connect(bench.entries[0].callers()).expect("connected");
+            stream.write_all(part).expect("sent");
+            held.push(stream);
+        }
+        still_serves(&bench);
+        drop(held);
+    }
+    for peer in [bench.entries[0].address(), bench.seats[0].agent.address()] {
+        let mut slow = TcpStream::connect(peer).expect("connected");
+        slow.write_all(&[0, 0]).expect("sent");
+        still_serves(&bench);
+    }
+    bench.stop();
+}
