Find out what became of a write before telling it

Cause: after a failed send and a read-back that found the row untouched or overwritten, a write was called refused, although it could still take effect or had done so before. Ruled out: a new mutation id for each try, since two tries could then both count; keeping the last ids in each row, since a row version tells the same: the version after the expected one has one writer only. Back-off and the budget of calls are machines without a clock. Conclusion: a write ends as applied, refused, overtaken, or undecided and asked again with the same ids.

--- a/persimmondrift/src/store.rs
+++ b/persimmondrift/src/store.rs
@@ -1,10 +1,18 @@
 //! The platform's table service: conditional writes with an own id each.
 
+mod backoff;
+mod commit;
+mod throttle;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::unit::{Mutation, Version};
 
+pub use backoff::Backoff;
+pub use commit::{Ask, Commit, commit};
+pub use throttle::{Kind, Throttle};
+
 /// A row of the table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -36,11 +44,14 @@
 pub enum Outcome {
     /// All were applied.
     Applied,
-    /// None was applied: a condition failed.
+    /// None was applied, and none will be: a condition failed.
     Refused,
+    /// Others have written all these rows since, so it cannot be found out any more whether
+    /// these writes came before them. Either way they are no longer in force.
+    Overtaken,
 }
 
-/// Why it is not known what became of a call.
+/// Why a call has no result.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// The service could not be reached: nothing was done.
@@ -55,6 +66,20 @@
     /// The answer is malformed.
     #[error("table service gave a malformed answer")]
     Malformed,
+    /// A write was sent, and it is not known yet whether it took effect.
+    #[error("it is not known yet whether the write took effect")]
+    Undecided,
+    /// A row holds a value that is not what its key stands for.
+    #[error("row {0} is malformed")]
+    Row(String),
+}
+
+impl Error {
+    /// Returns whether it is sure that a write with this result had no effect.
+    #[must_use]
+    pub fn had_no_effect(&self) -> bool {
+        *self == Self::Unreachable
+    }
 }
 
 /// Applies all writes or none.
@@ -73,29 +98,3 @@
     /// Reads a range of rows.
     pub scan: Box<ScanCall>,
 }
-
-/// Applies a batch of writes, and reads back what became of it when the answer is lost.
-///
-/// # Errors
-///
-/// Returns [`Error`] if it could not be found out; the caller may ask again with the same
-/// mutation ids.
-pub fn commit(calls: &Calls, writes: &[Write]) -> Result<Outcome, Error> {
-    let Some(first) = writes.first() else {
-        return Ok(Outcome::Applied);
-    };
-    match (calls.write)(writes) {
-        Ok(Outcome::Applied) => Ok(Outcome::Applied),
-        Err(Error::Unreachable) => Err(Error::Unreachable),
-        // A refusal may be the second arrival of a write whose first answer was lost.
-        Ok(Outcome::Refused) | Err(_) => {
-            let row = (calls.read)(&first.key)?;
-            let mutation = row.map(|row| row.mutation);
-            if mutation == Some(first.mutation) {
-                Ok(Outcome::Applied)
-            } else {
-                Ok(Outcome::Refused)
-            }
-        }
-    }
-}
--- /dev/null
+++ b/persimmondrift/tests/table_contract.rs
@@ -0,0 +1,188 @@
+//! The table adapter against a table service with faults: what became of a write.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use persimmondrift::adapter::table::{self, SCAN_ROWS};
+use persimmondrift::store::{self, Backoff, Calls, Error, Kind, Outcome, Throttle, Write};
+use persimmondrift::unit::{Mutation, Time, Version};
+use serde_json::json;
+use standin::fault::Fault::{self, Fail, LoseAnswer, Refuse};
+use standin::table::Table;
+
+fn write(key: &str, expected: u64, mutation: u64) -> Write {
+    let (expected, mutation) = (Version(expected), Mutation(mutation));
+    Write { key: key.to_owned(), expected, mutation, value: json!(mutation) }
+}
+
+fn start() -> (Table, Arc<Calls>) {
+    let table = Table::start().expect("a table service");
+    let calls = Arc::new(table::calls(&table.url()));
+    (table, calls)
+}
+
+/// Returns calls that let other writes come in between each write and what follows it.
+fn interrupted(inner: &Arc<Calls>, others: Vec<Write>) -> Calls {
+    let (first, second, third) = (Arc::clone(inner), Arc::clone(inner), Arc::clone(inner));
+    Calls {
+        write: Box::new(move |writes| {
+            let result = (first.write)(writes);
+            for other in &others {
+                let _ = (first.write)(std::slice::from_ref(other));
+            }
+            result
+        }),
+        read: Box::new(move |key| (second.read)(key)),
+        scan: Box::new(move |prefix, after| (third.scan)(prefix, after)),
+    }
+}
+
+#[test]
+fn outcomes_under_faults() {
+    type Case<'a> = (&'a str, &'a [Option<Fault>], Result<Outcome, Error>, u64);
+    let refused = Some(Refuse);
+    let lost = Some(LoseAnswer);
+    let cases: [Case; 8] = [
+        ("no fault", &[], Ok(Outcome::Applied), 1),
+        ("answer lost", &[lost], Ok(Outcome::Applied), 1),
+        ("nothing done, then lost", &[refused, None, lost], Ok(Outcome::Applied), 1),
+        ("refused once", &[refused], Ok(Outcome::Applied), 1),
+        ("failed twice", &[Some(Fail), None, Some(Fail)], Ok(Outcome::Applied), 1),
+        ("lost, read fails", &[lost, refused], Err(Error::Undecided), 1),
+        ("nothing done, read fails", &[refused, refused], Err(Error::Undecided), 0),
+        ("refused always", &[refused, None, refused, None, refused], Err(Error::Undecided), 0),
+    ];
+    let (table, calls) = start();
+    for (index, (name, script, expected, version)) in cases.into_iter().enumerate() {
+        table.switch.script(script.iter().copied());
+        let keys = [format!("a{index}"), format!("b{index}")];
+        let writes = [write(&keys[0], 0, 7), write(&keys[1], 0, 7)];
+        assert_eq!(store::commit(&calls, &writes), expected, "{name}");
+        for key in &keys {
+            let row = (calls.read)(key).expect("read");
+            assert_eq!(row.map_or(0, |row| row.version.0), version, "{name}: row {key}");
+        }
+        // Asked again with the same ids, the batch takes effect once.
+        assert_eq!(store::commit(&calls, &writes), Ok(Outcome::Applied), "{name}, again");
+        let row = (calls.read)(&keys[0]).expect("read").expect("a row");
+        assert_eq!(row.version, Version(1), "{name}, again");
+    }
+    table.stop();
+}
+
+#[test]
+fn others_come_in_between() {
+    let mine = || vec![write("lease", 1, 7)];
+    let both = || vec![write("lease", 1, 7), write("other", 0, 7)];
+    type Case<'a> = (&'a str, Option<Fault>, Vec<Write>, Vec<Write>, Outcome);
+    let cases: [Case; 6] = [
+        (
+            "applied, overwritten",
+            Some(LoseAnswer),
+            mine(),
+            vec![write("lease", 2, 8)],
+            Outcome::Overtaken,
+        ),
+        ("failed, one came", Some(Fail), mine(), vec![write("lease", 1, 8)], Outcome::Refused),
+        (
+            "failed, two came",
+            Some(Fail),
+            mine(),
+            vec![write("lease", 1, 8), write("lease", 2, 9)],
+            Outcome::Overtaken,
+        ),
+        (
+            "applied, second row tells",
+            Some(LoseAnswer),
+            both(),
+            vec![write("lease", 2, 8)],
+            Outcome::Applied,
+        ),
+        (
+            "failed, second row tells",
+            Some(Fail),
+            both(),
+            vec![write("lease", 1, 8), write("lease", 2, 9), write("other", 0, 9)],
+            Outcome::Refused,
+        ),
+        ("applied, other row taken", None, both(), vec![write("lease", 2, 8)], Outcome::Applied),
+    ];
+    let (table, calls) = start();
+    for (index, (name, fault, mut writes, mut others, expected)) in cases.into_iter().enumerate() {
+        for write in writes.iter_mut().chain(&mut others) {
+            write.key = format!("{}{index}", write.key);
+        }
+        let lease = format!("lease{index}");
+        assert_eq!((calls.write)(&[write(&lease, 0, 1)]), Ok(Outcome::Applied), "{name}");
+        let between = interrupted(&calls, others);
+        table.switch.script([fault]);
+        assert_eq!(store::commit(&between, &writes), Ok(expected), "{name}");
+    }
+    table.stop();
+}
+
+#[test]
+fn unreachable_has_no_effect() {
+    let (table, calls) = start();
+    table.stop();
+    let writes = vec![write("a", 0, 7)];
+    let mut first = store::Commit::new(writes.clone());
+    assert_eq!(first.drive(&calls), Err(Error::Unreachable));
+    assert_eq!(store::commit(&calls, &writes), Err(Error::Undecided));
+}
+
+#[test]
+fn scans_are_paged() {
+    let (table, calls) = start();
+    let rows: Vec<Write> = (0..SCAN_ROWS + 5).map(|n| write(&format!("k/{n:05}"), 0, 1)).collect();
+    assert_eq!((calls.write)(&rows), Ok(Outcome::Applied));
+    let _ = (calls.write)(&[write("j", 0, 1), write("l", 0, 1)]);
+    let first = (calls.scan)("k/", "").expect("a page");
+    assert_eq!(first.len(), SCAN_ROWS);
+    let last = &first[SCAN_ROWS - 1].key;
+    let keys: Vec<String> =
+        (calls.scan)("k/", last).expect("a page").into_iter().map(|row| row.key).collect();
+    assert_eq!(keys.len(), 5);
+    assert_eq!(keys.last().map(String::as_str), Some("k/01004"));
+    table.stop();
+}
+
+#[test]
+fn pauses_grow_and_differ() {
+    let now = Time::from_secs(100);
+    let pauses = |seed| {
+        let mut backoff = Backoff::new(seed);
+        (0..12).map(|_| backoff.failed(now)).collect::<Vec<Duration>>()
+    };
+    let (one, other) = (pauses(1), pauses(2));
+    assert_ne!(one, other);
+    assert_eq!(one, pauses(1));
+    assert!(one[0] <= Duration::from_millis(100) && one[11] >= Duration::from_secs(2));
+    assert!(one.iter().all(|pause| *pause <= Duration::from_secs(4)));
+    let mut backoff = Backoff::new(1);
+    let pause = backoff.failed(now);
+    assert!(backoff.left(now) <= pause && backoff.left(now) >= Duration::from_millis(50));
+    assert_eq!(backoff.left(now + pause), Duration::ZERO);
+    backoff.succeeded();
+    assert_eq!(backoff.left(now), Duration::ZERO);
+}
+
+#[test]
+fn budget_is_kept() {
+    for (entries, rate) in [(1, 300_u32), (25, 12)] {
+        let begin = Time::from_secs(5);
+        let mut throttle = Throttle::new(begin, entries);
+        let sent = AtomicU32::new(0);
+        let mut now = begin;
+        // A caller that asks without a pause for ten seconds gets its burst and its rate.
+        while now < begin + Duration::from_secs(10) {
+            now = now + throttle.spend(now, Kind::Write, 1);
+            sent.fetch_add(1, Ordering::Relaxed);
+        }
+        let sent = sent.into_inner();
+        assert!((11 * rate - 2..=11 * rate + 2).contains(&sent), "{entries}: {sent}");
+        let wait = throttle.spend(now, Kind::Read, 1);
+        assert_eq!(wait, Duration::ZERO, "reads have their own budget");
+    }
+}
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -1,5 +1,6 @@
 //! Fault switches of a stand-in.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -29,6 +30,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Switch {
     fault: Arc<Mutex<Option<Fault>>>,
+    script: Arc<Mutex<VecDeque<Option<Fault>>>>,
     calls: Arc<AtomicU64>,
     off: Arc<AtomicBool>,
 }
@@ -39,6 +41,12 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Sets what goes wrong with each of the next calls; after them the fault that is set holds.
+    pub fn script(&self, faults: impl IntoIterator<Item = Option<Fault>>) {
+        let mut script = self.script.lock().unwrap_or_else(PoisonError::into_inner);
+        script.extend(faults);
+    }
+
     /// Returns the number of calls that came in.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -56,7 +64,8 @@
         while self.get() == Some(Fault::Pause) && !self.off.load(Ordering::Relaxed) {
             thread::sleep(PAUSE_POLL);
         }
-        match self.get() {
+        let next = self.script.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
+        match next.unwrap_or_else(|| self.get()) {
             None | Some(Fault::Pause) => call(),
             Some(Fault::Refuse) => Response::text("refused").with_status_code(503),
             Some(Fault::Fail) => Response::text("failed").with_status_code(500),
@@ -65,7 +74,7 @@
                 call()
             }
             Some(Fault::LoseAnswer) => {
-                let _ = call();
+                drop(call());
                 Response::text("lost").with_status_code(504)
             }
         }
