--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -9,6 +9,7 @@
     Accelerators, Connections, Cores, Mebibytes, Node, Rack, Region, Service, Slots, Zone,
 };
 use persimmondrift::{agent, entry, settings};
+use standin::object::Objects;
 use standin::table::Table;
 use standin::target::Target;
 use standin::worker::Worker;
@@ -57,6 +58,8 @@
 pub struct Bench {
     /// The table service.
     pub table: Table,
+    /// The object store.
+    pub objects: Objects,
     /// The entries.
     pub entries: Vec<entry::Handle>,
     /// The workers.
@@ -71,10 +74,11 @@
     /// Returns the error of the part that cannot start.
     pub fn start(layout: &Layout) -> anyhow::Result<Self> {
         let table = Table::start()?;
+        let objects = Objects::start()?;
         let mut entries: Vec<entry::Handle> = Vec::new();
         for index in 0..layout.entries {
             let known = entries.iter().map(entry::Handle::address).collect();
-            let settings = entry_settings(layout, index, known, table.url())?;
+            let settings = entry_settings(layout, index, known, (table.url(), objects.url()))?;
             entries.push(entry::start(settings).context("entry")?);
         }
         let mut seats = Vec::new();
@@ -96,7 +100,7 @@
             .context("agent")?;
             seats.push(Seat { node, agent, target, worker });
         }
-        Ok(Self { table, entries, seats })
+        Ok(Self { table, objects, entries, seats })
     }
 
     /// Stops everything, entries first.
@@ -110,6 +114,7 @@
             seat.worker.stop();
         }
         self.table.stop();
+        self.objects.stop();
     }
 }
 
@@ -121,7 +126,7 @@
     layout: &Layout,
     index: usize,
     entries: Vec<SocketAddr>,
-    table: String,
+    (table, objects): (String, String),
 ) -> anyhow::Result<settings::Entry> {
     Ok(settings::Entry {
         node: Node::try_from(format!("entry-{index}"))?,
@@ -131,6 +136,7 @@
         listen: any(),
         entries,
         table,
+        objects,
         tokens: vec![settings::Token { operator: "founder".parse()?, secret: TOKEN.to_owned() }],
     })
 }
--- a/persimmon-load/src/demo.rs
+++ b/persimmon-load/src/demo.rs
@@ -44,8 +44,9 @@
 
 fn show(bench: &Bench) -> anyhow::Result<()> {
     let operators: Vec<SocketAddr> = bench.entries.iter().map(entry::Handle::operators).collect();
-    wait("all targets have announced themselves", || {
-        Ok(status(operators[0])?.agents.len() == bench.seats.len())
+    wait("all targets take new work", || {
+        let agents = status(operators[0])?.agents;
+        Ok(agents.iter().filter(|agent| agent.serving).count() == bench.seats.len())
     })?;
     serve(bench)?;
     let version = configure(bench, &operators)?;
--- a/persimmondrift/src/adapter.rs
+++ b/persimmondrift/src/adapter.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod link;
+pub mod object;
 pub mod operator;
 pub mod table;
 pub mod target;
--- /dev/null
+++ b/persimmondrift/src/adapter/object.rs
@@ -0,0 +1,71 @@
+//! The platform's object store over HTTP: whole objects by name.
+
+use std::time::Duration;
+
+use crate::store::Error;
+
+/// Time given to one call.
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest object that is read, in bytes.
+pub const OBJECT_BYTES: u64 = 256 << 20;
+
+/// Reads an object.
+pub type GetCall = dyn Fn(&str) -> Result<Option<Vec<u8>>, Error> + Send + Sync;
+/// Writes an object.
+pub type PutCall = dyn Fn(&str, &[u8]) -> Result<(), Error> + Send + Sync;
+/// Deletes an object.
+pub type DeleteCall = dyn Fn(&str) -> Result<(), Error> + Send + Sync;
+
+/// The calls of the object store, so that an adapter of another shape can take their place.
+pub struct Objects {
+    /// Reads an object.
+    pub get: Box<GetCall>,
+    /// Writes an object.
+    pub put: Box<PutCall>,
+    /// Deletes an object.
+    pub delete: Box<DeleteCall>,
+}
+
+/// Returns the calls of the object store at a base URL.
+#[must_use]
+pub fn calls(base: &str) -> Objects {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(TIMEOUT))
+        .http_status_as_error(false)
+        .build();
+    let agent = ureq::Agent::new_with_config(config);
+    let (getter, putter, deleter) = (agent.clone(), agent.clone(), agent);
+    let url = |base: &str| {
+        let base = base.to_owned();
+        move |name: &str| format!("{base}/{name}")
+    };
+    let (get_url, put_url, delete_url) = (url(base), url(base), url(base));
+    Objects {
+        get: Box::new(move |name| {
+            let mut response = getter.get(get_url(name)).call().map_err(|_| Error::NoAnswer)?;
+            match response.status().as_u16() {
+                404 => Ok(None),
+                200 => {
+                    let body = response.body_mut().with_config().limit(OBJECT_BYTES);
+                    Ok(Some(body.read_to_vec().map_err(|_| Error::NoAnswer)?))
+                }
+                status => Err(Error::Status(status)),
+            }
+        }),
+        put: Box::new(move |name, bytes| {
+            let sent = putter.put(put_url(name)).send(bytes).map_err(|_| Error::NoAnswer)?;
+            done(sent.status().as_u16())
+        }),
+        delete: Box::new(move |name| {
+            let sent = deleter.delete(delete_url(name)).call().map_err(|_| Error::NoAnswer)?;
+            done(sent.status().as_u16())
+        }),
+    }
+}
+
+fn done(status: u16) -> Result<(), Error> {
+    match status {
+        200..=299 | 404 => Ok(()),
+        status => Err(Error::Status(status)),
+    }
+}
--- a/persimmondrift/src/adapter/operator.rs
+++ b/persimmondrift/src/adapter/operator.rs
@@ -7,9 +7,9 @@
 use super::{BodyError, read_body};
 use crate::config::{Change, Config};
 use crate::intent::{self, Draft};
+use crate::journal;
 use crate::place::Summary;
 use crate::settings::Token;
-use crate::store;
 use crate::unit::{Operator, Plan, Version};
 
 /// A call of an operator, checked.
@@ -18,7 +18,14 @@
     /// Makes a plan of these changes.
     Plan(Vec<Change>),
     /// Confirms a plan.
-    Confirm(Plan, Operator),
+    Confirm {
+        /// Its id.
+        plan: Plan,
+        /// The plan, sent back; needed at entries that did not make it.
+        draft: Option<Draft>,
+        /// Who confirms it.
+        operator: Operator,
+    },
     /// Asks for the state of the system.
     Status,
 }
@@ -55,6 +62,8 @@
     pub node: crate::unit::Node,
     /// How it is judged.
     pub judgement: String,
+    /// Whether it takes new work.
+    pub serving: bool,
     /// The configuration in force there.
     pub version: Version,
     /// Requests that run there.
@@ -79,14 +88,26 @@
     #[error("{0}")]
     Body(#[from] BodyError),
     /// No such plan is held here.
-    #[error("plan {0} is not known here; plan again")]
+    #[error("plan {0} is not known here; send the whole plan back, or plan again")]
     NoPlan(Plan),
+    /// The configuration was not read since the entry started.
+    #[error("the entry has not read the configuration yet; ask another one, or later")]
+    Starting,
     /// The intent is refused.
     #[error("{0}")]
     Intent(#[from] intent::Error),
-    /// The table service does not answer: nothing was accepted, or it is not known yet.
-    #[error("{0}; ask again with the same plan")]
-    Store(#[from] store::Error),
+    /// The plan could not be written, or it is not known yet whether it was.
+    #[error("{0}")]
+    Journal(journal::Error),
+}
+
+impl From<journal::Error> for Refusal {
+    fn from(error: journal::Error) -> Self {
+        match error {
+            journal::Error::Intent(error) => Self::Intent(error),
+            error => Self::Journal(error),
+        }
+    }
 }
 
 /// Reads an operator's call.
@@ -108,12 +129,22 @@
         }
         ("POST", ["v1", "plans", plan, "confirm"]) => {
             let plan = plan.parse().map_err(|_| Refusal::Call)?;
-            Ok(Ask::Confirm(plan, operator))
+            let draft = read_draft(&read_body(request)?)?;
+            Ok(Ask::Confirm { plan, draft, operator })
         }
         _ => Err(Refusal::Call),
     }
 }
 
+/// Reads the plan that an operator sends back, if any.
+fn read_draft(body: &[u8]) -> Result<Option<Draft>, Refusal> {
+    if body.is_empty() {
+        return Ok(None);
+    }
+    let malformed = |error: serde_json::Error| Refusal::Malformed(error.to_string());
+    serde_json::from_slice(body).map(Some).map_err(malformed)
+}
+
 fn authorize(request: &Request, tokens: &[Token]) -> Result<Operator, Refusal> {
     let header = request.header("Authorization").unwrap_or_default();
     let given = header.strip_prefix("Bearer ").unwrap_or_default();
@@ -139,9 +170,10 @@
         Refusal::Token => 401,
         Refusal::Malformed(_) => 400,
         Refusal::Body(_) => 413,
-        Refusal::Intent(intent::Error::Conflict { .. }) => 409,
+        Refusal::Intent(intent::Error::Conflict { .. } | intent::Error::Stale { .. }) => 409,
         Refusal::Intent(_) => 422,
-        Refusal::Store(_) => 503,
+        Refusal::Journal(journal::Error::Undecided) => 504,
+        Refusal::Journal(_) | Refusal::Starting => 503,
     };
     let detail = match &refusal {
         Refusal::Intent(error) => serde_json::to_value(error).unwrap_or_default(),
--- a/persimmondrift/src/adapter/table.rs
+++ b/persimmondrift/src/adapter/table.rs
@@ -1,10 +1,13 @@
 //! The platform's table service over HTTP: JSON rows, all-or-none batches.
 
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::store::{Calls, Error, Outcome, Row, Write};
+use crate::store::{Calls, Error, Kind, Outcome, Row, Throttle, Write};
+use crate::unit::Time;
 
 /// Time given to one call.
 pub const TIMEOUT: Duration = Duration::from_secs(2);
@@ -20,6 +23,69 @@
     pub after: String,
 }
 
+/// The calls of the table service, within the budget of one process.
+pub struct Table {
+    /// The calls. They wait while the budget is spent.
+    pub calls: Calls,
+    budget: Arc<Budget>,
+}
+
+struct Budget {
+    origin: Instant,
+    throttle: Mutex<Throttle>,
+}
+
+impl Table {
+    /// Puts calls under the budget of one process.
+    #[must_use]
+    pub fn new(calls: Calls) -> Self {
+        let origin = Instant::now();
+        let throttle = Mutex::new(Throttle::new(Time(0), 1));
+        let budget = Arc::new(Budget { origin, throttle });
+        let (writes, reads, scans) =
+            (Arc::clone(&budget), Arc::clone(&budget), Arc::clone(&budget));
+        let Calls { write, read, scan } = calls;
+        let calls = Calls {
+            write: Box::new(move |rows| {
+                writes.spend(Kind::Write, u32::try_from(rows.len()).unwrap_or(u32::MAX));
+                write(rows)
+            }),
+            read: Box::new(move |key| {
+                reads.spend(Kind::Read, 1);
+                read(key)
+            }),
+            scan: Box::new(move |prefix, after| {
+                scans.spend(Kind::Read, 1);
+                scan(prefix, after)
+            }),
+        };
+        Self { calls, budget }
+    }
+
+    /// Takes in how many entries share the platform's allowance.
+    pub fn share(&self, entries: usize) {
+        let now = self.budget.now();
+        self.budget.lock().share(now, entries);
+    }
+}
+
+impl Budget {
+    fn now(&self) -> Time {
+        Time(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Throttle> {
+        self.throttle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn spend(&self, kind: Kind, tokens: u32) {
+        let wait = self.lock().spend(self.now(), kind, tokens);
+        if !wait.is_zero() {
+            thread::sleep(wait);
+        }
+    }
+}
+
 /// Returns the calls of the table service at a base URL.
 #[must_use]
 pub fn calls(base: &str) -> Calls {
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -6,7 +6,7 @@
 use super::work::Order;
 use crate::adapter::worker::{self, Listed};
 use crate::admit::Gate;
-use crate::config::Config;
+use crate::config::{Config, Update};
 use crate::gang::{Action, Holder, Phase, Task};
 use crate::member::{ANNOUNCE_EVERY, Announce, Load, Presence, State, View};
 use crate::settings;
@@ -20,19 +20,10 @@
     Send(SocketAddr, Body),
     /// Calls the worker.
     Work(Order),
-    /// Reads the records after a version from an entry.
+    /// Reads what follows a version from an entry.
     Fetch(SocketAddr, Version),
 }
 
-/// What came of reading records.
-#[derive(Debug)]
-pub enum Fetched {
-    /// The body that the entry sent.
-    Body(Body),
-    /// No answer.
-    Nothing,
-}
-
 /// The state of an agent.
 #[derive(Debug)]
 pub struct Core {
@@ -42,6 +33,8 @@
     announced: Option<Time>,
     entries: View<Presence>,
     config: Config,
+    /// Whether an entry told the configuration since the start.
+    configured: bool,
     fetching: bool,
     leaving: bool,
     planners: BTreeMap<Node, SocketAddr>,
@@ -51,8 +44,10 @@
 
 impl Core {
     /// Creates the state of an agent that listens at an address.
+    ///
+    /// It takes no work before an entry has told the configuration: it may be drained.
     pub fn new(settings: &settings::Agent, address: SocketAddr) -> Self {
-        Self {
+        let mut core = Self {
             node: settings.node.clone(),
             announce: Announce {
                 service: settings.service.clone(),
@@ -68,12 +63,15 @@
             announced: None,
             entries: View::default(),
             config: Config::default(),
+            configured: false,
             fetching: false,
             leaving: false,
             planners: BTreeMap::new(),
             gate: Gate::new(settings.capacity.slots),
             holder: Holder::default(),
-        }
+        };
+        core.apply_state();
+        core
     }
 
     /// Takes nothing new from now on.
@@ -99,12 +97,12 @@
         match frame.body {
             Body::Presence(presence) => {
                 let source = (&frame.node, frame.boot, frame.sequence);
-                let ahead = presence.version > self.config.version;
-                let address = presence.address;
-                self.entries.observe(now, from, source, presence);
-                if ahead && !self.fetching {
-                    self.fetching = true;
-                    return vec![Effect::Fetch(address, self.config.version)];
+                self.entries.observe(now, from, source, presence.clone());
+                self.heard(&presence)
+            }
+            Body::Push(update) => {
+                if self.configured && self.config.advance(update) {
+                    self.in_force();
                 }
                 Vec::new()
             }
@@ -117,22 +115,44 @@
         }
     }
 
-    /// Takes in the records read from an entry.
-    pub fn fetched(&mut self, fetched: Fetched) {
+    /// Takes in the configuration of an entry.
+    fn heard(&mut self, presence: &Presence) -> Vec<Effect> {
+        if !presence.known {
+            return Vec::new();
+        }
+        if self.config.settle(presence.settled, presence.version) {
+            self.in_force();
+        }
+        if presence.version <= self.config.version {
+            self.configure();
+            return Vec::new();
+        }
+        if self.fetching {
+            return Vec::new();
+        }
+        self.fetching = true;
+        vec![Effect::Fetch(presence.address, self.config.version)]
+    }
+
+    /// Takes in what an entry sent of its configuration, if it answered.
+    pub fn fetched(&mut self, update: Option<Update>) {
         self.fetching = false;
-        match fetched {
-            Fetched::Body(Body::Records(records)) => {
-                for record in &records {
-                    if self.config.apply(record).is_err() {
-                        break;
-                    }
-                }
-            }
-            Fetched::Body(Body::Whole(config)) if config.version > self.config.version => {
-                self.config = config;
-            }
-            _ => return,
+        if let Some(update) = update
+            && self.config.advance(update)
+        {
+            self.in_force();
         }
+    }
+
+    fn configure(&mut self) {
+        if !self.configured {
+            self.configured = true;
+            self.announced = None;
+            self.apply_state();
+        }
+    }
+
+    fn in_force(&mut self) {
         crate::log!(InForce, "version {} at {}", self.config.version, self.node);
         self.apply_state();
     }
@@ -170,7 +190,8 @@
     }
 
     fn apply_state(&mut self) {
-        let leaving = self.leaving || self.config.drained.contains(&self.node);
+        let drained = self.config.drained.contains(&self.node);
+        let leaving = self.leaving || drained || !self.configured;
         self.gate.set_leaving(leaving);
         self.holder.set_leaving(leaving);
         self.announce.state = if leaving { State::Leaving } else { State::Serving };
--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use super::Shared;
-use super::core::Fetched;
 use crate::adapter::link::{self, Link};
 use crate::adapter::target;
 use crate::admit::{Call, Cause, Effect, Outcome};
+use crate::config::Update;
 use crate::unit::{Request, Version};
 use crate::wire::{self, Body};
 
@@ -108,13 +108,13 @@
     outcome
 }
 
-/// Reads the records after a version from an entry.
-pub fn fetch(link: &Link, from: SocketAddr, version: Version) -> Fetched {
-    let read = || -> Result<Body, wire::Error> {
+/// Reads what follows a version from an entry; nothing if it does not answer.
+pub fn fetch(link: &Link, from: SocketAddr, version: Version) -> Option<Update> {
+    let read = || -> Result<Update, wire::Error> {
         let stream = link::connect(from, FETCH_TIMEOUT)?;
         stream.set_read_timeout(Some(FETCH_TIMEOUT))?;
-        wire::write(&stream, &link.frame(Body::Fetch(version)))?;
-        Ok(wire::read(&stream)?.body)
+        wire::write(&stream, &link.frame(Body::Follow(version)))?;
+        wire::read_update(&stream)
     };
-    read().map_or(Fetched::Nothing, Fetched::Body)
+    read().ok()
 }
--- a/persimmondrift/src/config.rs
+++ b/persimmondrift/src/config.rs
@@ -1,12 +1,22 @@
 //! The configuration in force, as a log of accepted changes with one rising version.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod update;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
 use crate::place;
 use crate::unit::{Job, Mutation, Node, Operator, Plan, Service, Version, Workspace};
 
+pub use update::{Update, for_agent, for_entry};
+
+/// Ended jobs that are remembered.
+pub const ENDED: usize = 1_024;
+/// Records that each entry keeps: for those who are behind, for conflicts, and to know a
+/// plan that is confirmed again.
+pub const RECORDS: usize = 4_096;
+
 /// What a workspace is promised.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -71,7 +81,8 @@
     },
     /// Submits a job.
     Submit {
-        /// The job.
+        /// The job; 0 or unstated if the system is to pick its id.
+        #[serde(default)]
         job: Job,
         /// What it needs.
         spec: place::Spec,
@@ -90,6 +101,44 @@
     },
 }
 
+/// What a change is about: two changes of one item conflict.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Item {
+    /// A workspace.
+    Workspace(Workspace),
+    /// A service.
+    Service(Service),
+    /// Whether a node is drained.
+    Node(Node),
+    /// A job.
+    Job(Job),
+}
+
+impl Change {
+    /// Returns what it is about.
+    #[must_use]
+    pub fn item(&self) -> Item {
+        match self {
+            Self::PutWorkspace { workspace, .. } | Self::RemoveWorkspace { workspace } => {
+                Item::Workspace(workspace.clone())
+            }
+            Self::PutService { service, .. } | Self::RemoveService { service } => {
+                Item::Service(service.clone())
+            }
+            Self::Drain { node } | Self::Undrain { node } => Item::Node(node.clone()),
+            Self::Submit { job, .. } | Self::Cancel { job } | Self::End { job, .. } => {
+                Item::Job(*job)
+            }
+        }
+    }
+
+    /// Returns whether agents have to know it. Jobs reach them as commands of planners.
+    #[must_use]
+    pub fn concerns_agents(&self) -> bool {
+        !matches!(self, Self::Submit { .. } | Self::Cancel { .. } | Self::End { .. })
+    }
+}
+
 /// An accepted set of changes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -131,6 +180,10 @@
     pub drained: BTreeSet<Node>,
     /// The jobs that were submitted and have not ended.
     pub jobs: BTreeMap<Job, place::Spec>,
+    /// The last jobs that ended, and how, the newest last.
+    pub ended: VecDeque<(Job, place::Outcome)>,
+    /// The last version that changed anything that agents have to know.
+    pub settled: Version,
 }
 
 impl Config {
@@ -150,12 +203,23 @@
         }
         for change in &record.changes {
             self.change(change);
+            if change.concerns_agents() {
+                self.settled = record.version;
+            }
         }
         self.version = record.version;
         Ok(true)
     }
 
-    fn change(&mut self, change: &Change) {
+    /// Returns how a job ended, if it is remembered.
+    #[must_use]
+    pub fn ending(&self, job: Job) -> Option<place::Outcome> {
+        let found = self.ended.iter().rev().find(|(other, _)| *other == job);
+        found.map(|(_, outcome)| *outcome)
+    }
+
+    /// Makes a change without counting a version, to try out what follows from it.
+    pub fn change(&mut self, change: &Change) {
         match change.clone() {
             Change::PutWorkspace { workspace, quota } => {
                 self.workspaces.insert(workspace, quota);
@@ -178,9 +242,31 @@
             Change::Submit { job, spec } => {
                 self.jobs.insert(job, spec);
             }
-            Change::Cancel { job } | Change::End { job, .. } => {
-                self.jobs.remove(&job);
-            }
+            Change::Cancel { job } => self.end(job, place::Outcome::Cancelled),
+            Change::End { job, outcome } => self.end(job, outcome),
         }
     }
+
+    fn end(&mut self, job: Job, outcome: place::Outcome) {
+        if self.jobs.remove(&job).is_none() {
+            return;
+        }
+        self.ended.push_back((job, outcome));
+        while self.ended.len() > ENDED {
+            self.ended.pop_front();
+        }
+    }
+}
+
+/// Keeps a record that was applied, and forgets the oldest beyond the bound.
+///
+/// A gap before it makes the older ones useless.
+pub fn remember(records: &mut VecDeque<Record>, record: Record) {
+    if records.back().is_some_and(|last| last.version.next() != record.version) {
+        records.clear();
+    }
+    records.push_back(record);
+    while records.len() > RECORDS {
+        records.pop_front();
+    }
 }
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry process: callers' requests, operators' intents, and the planner role of zones.
 
 mod core;
+mod log;
 mod operate;
 mod pool;
 mod request;
@@ -16,9 +17,10 @@
 use rouille::Response;
 
 use crate::adapter::link::{self, Arrival, Link};
-use crate::adapter::{self, Http, caller, operator};
+use crate::adapter::object::{self, Objects};
+use crate::adapter::table::{self as platform, Table};
+use crate::adapter::{Http, caller, operator};
 use crate::settings;
-use crate::store::Calls;
 use crate::unit::{Boot, Time};
 use crate::wire::{self, Body};
 
@@ -30,6 +32,9 @@
 const CALLER_THREADS: usize = 256;
 /// Threads for operators' calls.
 const OPERATOR_THREADS: usize = 4;
+/// Time given to the table service and the other entries to tell the configuration, before
+/// callers are served without.
+const START_LIMIT: Duration = Duration::from_secs(5);
 /// Time given to a peer to send a whole frame.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -40,8 +45,10 @@
     core: Mutex<Core>,
     random: Mutex<fastrand::Rng>,
     pool: pool::Pool,
-    table: Calls,
+    table: Table,
+    objects: Objects,
     work: mpsc::Sender<table::Order>,
+    log: mpsc::Sender<log::Order>,
     origin: Instant,
     leaving: AtomicBool,
     stop: AtomicBool,
@@ -64,18 +71,29 @@
     let boot = Boot(fastrand::u64(1..));
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
+    let (log, log_orders) = mpsc::channel();
     let shared = Arc::new(Shared {
         core: Mutex::new(Core::new(&settings, link.address())),
         random: Mutex::new(fastrand::Rng::new()),
         pool: pool::Pool::default(),
-        table: adapter::table::calls(&settings.table),
+        table: Table::new(platform::calls(&settings.table)),
+        objects: object::calls(&settings.objects),
         work,
+        log,
         link,
         settings,
         origin: Instant::now(),
         leaving: AtomicBool::new(false),
         stop: AtomicBool::new(false),
     });
+    let threads = vec![
+        spawn(&shared, Shared::receive),
+        spawn(&shared, Shared::accept),
+        spawn(&shared, Shared::tick),
+        spawn(&shared, move |shared| table::run(shared, &orders)),
+        spawn(&shared, move |shared| log::run(shared, &log_orders)),
+    ];
+    shared.wait_for_configuration();
     let callers = start_callers(&shared)?;
     let operators = start_operators(&shared)?;
     crate::log!(
@@ -86,12 +104,6 @@
         callers.address,
         operators.address
     );
-    let threads = vec![
-        spawn(&shared, Shared::receive),
-        spawn(&shared, Shared::accept),
-        spawn(&shared, Shared::tick),
-        spawn(&shared, move |shared| table::run(shared, &orders)),
-    ];
     Ok(Handle { shared, callers, operators, threads })
 }
 
@@ -154,6 +166,7 @@
     /// Fails the health check, so that the balancer sends no more callers.
     pub fn leave(&self) {
         self.shared.leaving.store(true, Ordering::Relaxed);
+        self.shared.core().leaving = true;
         crate::log!(Stopping, "entry {}", self.shared.settings.node);
     }
 
@@ -188,6 +201,15 @@
         self.stop.load(Ordering::Relaxed)
     }
 
+    /// Waits until the configuration is known, or cannot be found out for now.
+    fn wait_for_configuration(&self) {
+        let begin = Instant::now();
+        while !self.core().known && begin.elapsed() < START_LIMIT {
+            thread::sleep(TICK / 10);
+        }
+        self.core().known = true;
+    }
+
     fn receive(self: &Arc<Self>) {
         let mut buffer = vec![0; wire::DATAGRAM_BYTES + 1];
         while !self.stops() {
@@ -217,16 +239,16 @@
 
     fn serve(&self, stream: &std::net::TcpStream, from: SocketAddr) {
         let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
-        let version = match wire::read(stream) {
-            Ok(wire::Frame { body: Body::Fetch(version), .. }) => version,
+        let update = match wire::read(stream) {
+            Ok(wire::Frame { body: Body::Fetch(version), .. }) => self.core().since(version),
+            Ok(wire::Frame { body: Body::Follow(version), .. }) => self.core().follow(version),
             Ok(_) | Err(wire::Error::Connection(_)) => return,
             Err(error) => {
                 crate::warn!(FrameRefused, "from {from}: {error}");
                 return;
             }
         };
-        let body = self.core().since(version);
-        if let Err(error) = wire::write(stream, &self.link.frame(body)) {
+        if let Err(error) = wire::write_update(stream, &update, |body| self.link.frame(body)) {
             crate::warn!(FrameRefused, "to {from}: {error}");
         }
     }
@@ -251,6 +273,9 @@
                 Effect::Table(order) => {
                     let _ = self.work.send(order);
                 }
+                Effect::Wake => {
+                    let _ = self.log.send(log::Order::Wake);
+                }
             }
         }
     }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -5,21 +5,21 @@
 
 use super::role::{self, Role};
 use super::table::Order;
-use crate::config::{Change, Config, Record};
+use crate::config::{self, Config, Record, Update};
 use crate::gang::Report;
-use crate::intent::{Draft, Supply};
+use crate::intent::{Busy, Draft, Facts, Supply};
+use crate::journal::Held;
 use crate::member::{self, ANNOUNCE_EVERY, Announce, Place, Presence, State, View};
-use crate::place::Outcome;
 use crate::settings;
-use crate::unit::{Epoch, Job, Node, Plan, Time, Version, Zone};
+use crate::unit::{Epoch, Node, Plan, Time, Version, Zone};
 use crate::wire::{Body, Frame};
 
-/// Records that are kept for those who are a little behind.
-const RECORDS: usize = 1_024;
 /// Plans that are kept until they are confirmed.
 const DRAFTS: usize = 256;
-/// Ended jobs that are remembered for operators.
-const ENDED: usize = 1_024;
+/// Versions of the past that each push repeats, for those who missed one.
+const PUSH_BACK: u64 = 8;
+/// Largest push, in bytes: it goes in one packet of the network.
+const PUSH_BYTES: usize = 1_200;
 /// Time after the start of the process before it takes a planner role: by then all
 /// agents have announced themselves.
 const ROLE_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
@@ -31,6 +31,8 @@
     Send(SocketAddr, Body),
     /// Calls the table service.
     Table(Order),
+    /// Looks for new records now.
+    Wake,
 }
 
 /// The state of an entry.
@@ -48,7 +50,10 @@
     pub(super) records: VecDeque<Record>,
     pub(super) drafts: BTreeMap<Plan, Draft>,
     pub(super) roles: BTreeMap<Zone, Role>,
-    pub(super) ended: VecDeque<(Job, Outcome)>,
+    /// Whether the configuration was read since the start, or cannot be known now.
+    pub(super) known: bool,
+    pub(super) leaving: bool,
+    pushed: Version,
 }
 
 impl Core {
@@ -67,7 +72,9 @@
             records: VecDeque::new(),
             drafts: BTreeMap::new(),
             roles: BTreeMap::new(),
-            ended: VecDeque::new(),
+            known: false,
+            leaving: false,
+            pushed: Version(0),
         }
     }
 
@@ -77,12 +84,19 @@
         match frame.body {
             Body::Announce(announce) => {
                 let changes = self.agents.observe(now, from, source, announce);
-                self.agents_changed(now, changes)
+                let new = changes.iter().any(|change| matches!(change, member::Effect::Joined(_)));
+                let mut effects = self.agents_changed(now, changes);
+                if new {
+                    // It takes no work before it knows the configuration.
+                    effects.push(Effect::Send(from, Body::Presence(self.presence())));
+                }
+                effects
             }
             Body::Presence(presence) if frame.node != self.node => {
+                let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
                 log_changes(&changes);
-                Vec::new()
+                if ahead { vec![Effect::Wake] } else { Vec::new() }
             }
             Body::Report(report) => self.report(now, &frame.node, &report),
             _ => Vec::new(),
@@ -97,10 +111,11 @@
         log_changes(&self.entries.tick(now));
         if self.announced.is_none_or(|last| now.since(last) >= ANNOUNCE_EVERY) {
             effects.extend(self.announce(now));
-            if now.since(started) >= ROLE_AFTER {
+            if self.known && now.since(started) >= ROLE_AFTER {
                 effects.extend(self.seek_roles());
             }
         }
+        effects.extend(self.push());
         let mut asked = Vec::new();
         for role in self.roles.values_mut() {
             asked.extend(role.tick(now));
@@ -123,18 +138,11 @@
             }
             crate::log!(InForce, "version {} at {}", self.config.version, self.node);
             for change in &record.changes {
-                if let Change::End { job, outcome } = change {
-                    self.ended.push_back((*job, *outcome));
-                    self.ended.truncate(ENDED);
-                }
                 for role in self.roles.values_mut() {
                     effects.extend(role.change(now, change));
                 }
             }
-            self.records.push_back(record);
-            while self.records.len() > RECORDS {
-                self.records.pop_front();
-            }
+            config::remember(&mut self.records, record);
         }
         self.carry_out(effects)
     }
@@ -162,17 +170,66 @@
         self.carry_out(effects)
     }
 
-    /// Returns the records after a version, or the whole configuration.
-    pub fn since(&self, version: Version) -> Body {
-        if version >= self.config.version {
-            return Body::Records(Vec::new());
+    /// Takes over a whole configuration that is newer than the one held.
+    ///
+    /// Planner roles are taken anew, so that they see all jobs.
+    pub fn adopt(&mut self, config: Config) {
+        if config.version <= self.config.version {
+            return;
+        }
+        crate::log!(Adopted, "version {} at {}", config.version, self.node);
+        self.config = config;
+        self.records.clear();
+        self.roles.clear();
+    }
+
+    /// Takes in that another entry sent what it holds: if it knows the configuration, or had
+    /// any, this one knows it now.
+    pub fn learn_from(&mut self, address: SocketAddr) {
+        let mut from = self.entries.iter().filter(|(_, member)| member.address == address);
+        let knows = from.any(|(_, member)| member.said.known);
+        self.known |= knows || self.config.version > Version(0);
+    }
+
+    /// Takes in records that led to the configuration adopted.
+    pub fn remember(&mut self, records: Vec<Record>) {
+        for record in records {
+            config::remember(&mut self.records, record);
         }
-        let held = self.records.front().is_some_and(|first| first.version <= version.next());
-        if !held {
-            return Body::Whole(self.config.clone());
+    }
+
+    /// Returns the configuration and the records that led to it.
+    pub fn held(&self) -> Held<'_> {
+        Held { config: &self.config, records: &self.records }
+    }
+
+    /// Returns what leads another entry on from a version.
+    pub fn since(&self, version: Version) -> Update {
+        config::for_entry(&self.config, &self.records, version)
+    }
+
+    /// Returns what leads an agent on from a version.
+    pub fn follow(&self, version: Version) -> Update {
+        config::for_agent(&self.config, &self.records, version)
+    }
+
+    /// Returns the addresses of the other entries, those of the settings included.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let mut others: Vec<SocketAddr> = Vec::new();
+        others.extend(self.entries.alive().map(|(_, member)| member.address));
+        for &seed in &self.seeds {
+            if seed != self.address && !others.contains(&seed) {
+                others.push(seed);
+            }
         }
-        let later = self.records.iter().filter(|record| record.version > version);
-        Body::Records(later.cloned().collect())
+        others
+    }
+
+    /// Returns how many live entries come before this one in the order of names, and how many
+    /// there are with this one.
+    pub fn rank(&self) -> (usize, usize) {
+        let before = self.entries.alive().filter(|(node, _)| **node < self.node).count();
+        (before, self.entries.alive().count() + 1)
     }
 
     /// Keeps a plan until it is confirmed.
@@ -194,6 +251,36 @@
         supply
     }
 
+    /// Returns what is known of the system beside the configuration.
+    pub fn facts(&self) -> Facts {
+        let mut nodes = std::collections::BTreeMap::new();
+        for (node, member) in self.agents.iter() {
+            let jobs = member.said.tasks.iter().map(|holding| holding.task.job).collect();
+            let service = Some(member.said.service.clone());
+            let requests = member.said.load.running;
+            nodes.insert(node.clone(), Busy { service, requests, jobs });
+        }
+        for (node, _) in self.entries.iter() {
+            nodes.insert(node.clone(), Busy::default());
+        }
+        Facts { supply: self.supply(), nodes }
+    }
+
+    /// Sends what changed to the agents at once, if it is small; the others ask for it.
+    fn push(&mut self) -> Vec<Effect> {
+        if self.pushed >= self.config.settled {
+            return Vec::new();
+        }
+        let base = Version(self.pushed.0.saturating_sub(PUSH_BACK));
+        self.pushed = self.config.version;
+        let update = self.follow(base);
+        if matches!(update, Update::Whole(_)) || size(&update) > PUSH_BYTES {
+            return Vec::new();
+        }
+        let send = |address| Effect::Send(address, Body::Push(update.clone()));
+        self.agents.alive().map(|(_, member)| send(member.address)).collect()
+    }
+
     fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
         let Some(member) = self.agents.get(node) else {
             return Vec::new();
@@ -236,25 +323,32 @@
 
     fn announce(&mut self, now: Time) -> Vec<Effect> {
         self.announced = Some(now);
-        let presence = Presence {
-            place: self.place.clone(),
-            address: self.address,
-            state: State::Serving,
-            version: self.config.version,
-        };
-        let mut to: Vec<SocketAddr> = Vec::new();
-        to.extend(self.entries.alive().map(|(_, member)| member.address));
-        for &seed in &self.seeds {
-            if seed != self.address && !to.contains(&seed) {
-                to.push(seed);
-            }
-        }
+        let presence = self.presence();
+        let mut to = self.others();
         to.extend(self.agents.alive().map(|(_, member)| member.address));
         to.into_iter()
             .map(|address| Effect::Send(address, Body::Presence(presence.clone())))
             .collect()
     }
 
+    /// Tells the other entries what is in force here.
+    pub fn tell_entries(&self) -> Vec<Effect> {
+        let presence = self.presence();
+        let send = |address| Effect::Send(address, Body::Presence(presence.clone()));
+        self.others().into_iter().map(send).collect()
+    }
+
+    fn presence(&self) -> Presence {
+        Presence {
+            place: self.place.clone(),
+            address: self.address,
+            state: if self.leaving { State::Leaving } else { State::Serving },
+            known: self.known,
+            version: self.config.version,
+            settled: self.config.settled,
+        }
+    }
+
     /// Asks for the planner role of each zone that falls to this entry.
     fn seek_roles(&self) -> Vec<Effect> {
         let mut zones: Vec<&Zone> = Vec::new();
@@ -291,6 +385,10 @@
     }
 }
 
+fn size(update: &Update) -> usize {
+    postcard::to_stdvec(update).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 fn log_changes(changes: &[member::Effect]) {
     for change in changes {
         match change {
--- /dev/null
+++ b/persimmondrift/src/entry/log.rs
@@ -0,0 +1,191 @@
+//! The thread that reads and writes the log of accepted changes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::Duration;
+
+use super::Shared;
+use crate::adapter::link;
+use crate::config::Update;
+use crate::journal::ring::PREFIX;
+use crate::journal::{self, Answer, Append, Call, Effect, Error, Journal, Ticket};
+use crate::place::Outcome;
+use crate::unit::{Job, Version};
+use crate::wire;
+use crate::wire::Body;
+
+/// Longest pause between two looks whether the process stops.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// Time given to another entry to send its configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where an operator's call waits for its answer.
+pub type Reply = Sender<Result<Version, Error>>;
+
+/// Work for the log.
+#[derive(Debug)]
+pub enum Order {
+    /// Appends a confirmed plan.
+    Append(Box<Append>, Reply),
+    /// Records how a job ended.
+    End(Job, Outcome),
+    /// Looks for new records now.
+    Wake,
+}
+
+struct Log<'a> {
+    shared: &'a Arc<Shared>,
+    journal: Journal,
+    replies: BTreeMap<Ticket, Reply>,
+    tickets: u64,
+    failed: bool,
+}
+
+/// Carries out the orders and reads new records until the process stops.
+pub fn run(shared: &Arc<Shared>, orders: &Receiver<Order>) {
+    let seed = shared.random().u64(..);
+    let journal = Journal::new(seed);
+    let mut log = Log { shared, journal, replies: BTreeMap::new(), tickets: 0, failed: false };
+    while !shared.stops() {
+        let wait = log.journal.left(shared.now()).min(LONGEST_WAIT);
+        match orders.recv_timeout(wait) {
+            Ok(order) => log.take(order),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        for order in orders.try_iter() {
+            log.take(order);
+        }
+        log.step();
+    }
+}
+
+impl Log<'_> {
+    fn take(&mut self, order: Order) {
+        match order {
+            Order::Append(mut append, reply) => {
+                self.tickets += 1;
+                append.ticket = Ticket(self.tickets);
+                self.replies.insert(append.ticket, reply);
+                let told = self.journal.append(self.shared.now(), *append);
+                self.perform(told.into_iter().collect());
+            }
+            Order::End(job, outcome) => self.journal.end(job, outcome),
+            Order::Wake => self.journal.wake(),
+        }
+    }
+
+    /// Makes the calls that are due.
+    fn step(&mut self) {
+        let (rank, entries) = self.shared.core().rank();
+        self.journal.set_rank(u64::try_from(rank).unwrap_or(u64::MAX));
+        self.shared.table.share(entries);
+        let expired = self.journal.tick(self.shared.now());
+        self.perform(expired);
+        while !self.shared.stops() {
+            let now = self.shared.now();
+            let next = self.journal.next(now, self.shared.core().held());
+            let Some(call) = next else {
+                break;
+            };
+            let answer = self.call(call);
+            let now = self.shared.now();
+            let effects = self.journal.answered(now, answer, self.shared.core().held());
+            self.perform(effects);
+        }
+        if self.journal.has_read_to_end() {
+            self.shared.core().known = true;
+        }
+    }
+
+    fn call(&self, call: Call) -> Answer {
+        let (table, objects) = (&self.shared.table.calls, &self.shared.objects);
+        match call {
+            Call::Read(key) => Answer::Row((table.read)(&key)),
+            Call::Scan(after) => Answer::Rows((table.scan)(PREFIX, &after)),
+            Call::Write(writes) => Answer::Wrote((table.write)(&writes)),
+            Call::Get(name) => Answer::Object((objects.get)(&name)),
+            Call::Put(name, bytes) => Answer::Stored((objects.put)(&name, &bytes)),
+            Call::Delete(name) => Answer::Stored((objects.delete)(&name)),
+        }
+    }
+
+    fn perform(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Accept(records) => {
+                    let now = self.shared.now();
+                    let effects = self.shared.core().accept(now, records);
+                    self.shared.perform(effects);
+                    self.works();
+                }
+                Effect::Wrote => {
+                    let effects = self.shared.core().tell_entries();
+                    self.shared.perform(effects);
+                }
+                Effect::Adopt(config) => self.shared.core().adopt(*config),
+                Effect::Remember(records) => self.shared.core().remember(records),
+                Effect::Told(ticket, result) => {
+                    if let Some(reply) = self.replies.remove(&ticket) {
+                        let _ = reply.send(result);
+                    }
+                }
+                Effect::Malformed(key) => crate::warn!(RowRefused, "{key}"),
+                Effect::Failed(error) => self.fails(&error),
+            }
+        }
+    }
+
+    fn works(&mut self) {
+        if std::mem::take(&mut self.failed) {
+            crate::log!(StoreBack, "reads and writes go on");
+        }
+    }
+
+    fn fails(&mut self, error: &crate::store::Error) {
+        if !std::mem::replace(&mut self.failed, true) {
+            crate::warn!(StoreFailed, "{error}");
+        }
+        if !self.journal.has_read_to_end() {
+            self.ask_others();
+        }
+    }
+
+    /// Reads the configuration from the other entries while the table service is away.
+    fn ask_others(&self) {
+        let others = self.shared.core().others();
+        for address in others {
+            let held = self.shared.core().config.version;
+            let Ok(update) = fetch(self.shared, address, held) else {
+                continue;
+            };
+            let now = self.shared.now();
+            match update {
+                Update::Whole(config) => self.shared.core().adopt(*config),
+                Update::Records(records) => {
+                    let effects = self.shared.core().accept(now, records);
+                    self.shared.perform(effects);
+                }
+                Update::Changes { .. } => {}
+            }
+            self.shared.core().learn_from(address);
+        }
+    }
+}
+
+fn fetch(
+    shared: &Shared,
+    from: std::net::SocketAddr,
+    version: Version,
+) -> Result<Update, wire::Error> {
+    let stream = link::connect(from, FETCH_TIMEOUT)?;
+    stream.set_read_timeout(Some(FETCH_TIMEOUT))?;
+    wire::write(&stream, &shared.link.frame(Body::Fetch(version)))?;
+    wire::read_update(&stream)
+}
+
+/// Returns the time within which an append is answered, at the latest.
+pub fn answered_within() -> Duration {
+    journal::APPEND_WITHIN + 3 * crate::adapter::table::TIMEOUT
+}
--- a/persimmondrift/src/entry/operate.rs
+++ b/persimmondrift/src/entry/operate.rs
@@ -1,10 +1,13 @@
 //! Operators' calls: plan, confirm, status.
 
-use super::{Shared, table};
+use std::sync::mpsc;
+
+use super::{Shared, log};
 use crate::adapter::operator::{Agent, Ask, Refusal, Status, Told};
 use crate::config::Change;
-use crate::intent;
-use crate::store::Outcome;
+use crate::intent::{self, Draft};
+use crate::journal::{self, Append, Ticket};
+use crate::member::State;
 use crate::unit::{Operator, Plan, Version};
 
 /// Answers an operator's call.
@@ -15,45 +18,44 @@
 pub fn answer(shared: &Shared, ask: Ask) -> Result<Told, Refusal> {
     match ask {
         Ask::Plan(changes) => plan(shared, changes),
-        Ask::Confirm(plan, operator) => confirm(shared, plan, &operator).map(Told::Confirmed),
+        Ask::Confirm { plan, draft, operator } => {
+            confirm(shared, plan, draft, &operator).map(Told::Confirmed)
+        }
         Ask::Status => Ok(Told::Status(Box::new(status(shared)))),
     }
 }
 
 fn plan(shared: &Shared, changes: Vec<Change>) -> Result<Told, Refusal> {
-    let plan = Plan(shared.random().u64(1..));
+    let nonce = shared.random().u64(..);
     let mut core = shared.core();
-    let draft = intent::plan(&core.config, core.supply(), plan, changes)?;
+    if !core.known {
+        return Err(Refusal::Starting);
+    }
+    let facts = core.facts();
+    let draft = intent::plan(&core.config, &facts, nonce, changes)?;
     core.keep(draft.clone());
-    crate::log!(Planned, "plan {plan} from version {}", draft.base);
+    crate::log!(Planned, "plan {} from version {}", draft.plan, draft.base);
     Ok(Told::Planned(draft))
 }
 
-fn confirm(shared: &Shared, plan: Plan, operator: &Operator) -> Result<Version, Refusal> {
-    table::refresh(shared)?;
-    let record = {
+fn confirm(
+    shared: &Shared,
+    plan: Plan,
+    draft: Option<Draft>,
+    operator: &Operator,
+) -> Result<Version, Refusal> {
+    let (draft, facts) = {
         let core = shared.core();
-        // A plan confirmed before keeps its version: the second confirm changes nothing.
-        if let Some(done) = core.records.iter().find(|record| record.plan == plan) {
-            return Ok(done.version);
-        }
-        let draft = core.drafts.get(&plan).ok_or(Refusal::NoPlan(plan))?;
-        let since: Vec<_> = core.records.iter().cloned().collect();
-        let mutation = table::mutation(shared);
-        intent::confirm(&core.config, draft, &since, operator, mutation)?
+        let draft = draft.or_else(|| core.drafts.get(&plan).cloned());
+        (draft.filter(|draft| draft.plan == plan).ok_or(Refusal::NoPlan(plan))?, core.facts())
     };
-    let outcome = table::append(shared, &record)?;
-    table::refresh(shared)?;
-    if outcome == Outcome::Refused {
-        let core = shared.core();
-        let current = core.config.version;
-        let later = core.records.iter().filter(|other| other.version >= record.version);
-        let changes = later.flat_map(|other| other.changes.clone()).collect();
-        let base = Version(record.version.0 - 1);
-        return Err(intent::Error::Conflict { base, current, changes }.into());
-    }
-    crate::log!(Confirmed, "plan {plan} by {operator} is version {}", record.version);
-    Ok(record.version)
+    let (reply, told) = mpsc::channel();
+    let append = Append { ticket: Ticket(0), draft, operator: operator.clone(), facts };
+    let _ = shared.log.send(log::Order::Append(Box::new(append), reply));
+    let version =
+        told.recv_timeout(log::answered_within()).unwrap_or(Err(journal::Error::Undecided))?;
+    crate::log!(Confirmed, "plan {plan} by {operator} is version {version}");
+    Ok(version)
 }
 
 fn status(shared: &Shared) -> Status {
@@ -63,6 +65,7 @@
         agents.push(Agent {
             node: node.clone(),
             judgement: format!("{:?}", member.judgement),
+            serving: member.said.state == State::Serving,
             version: member.said.version,
             running: member.said.load.running,
             tasks: member.said.tasks.len(),
@@ -73,6 +76,6 @@
         config: core.config.clone(),
         agents,
         zones: zones.collect(),
-        ended: core.ended.iter().copied().collect(),
+        ended: core.config.ended.iter().copied().collect(),
     }
 }
--- a/persimmondrift/src/entry/table.rs
+++ b/persimmondrift/src/entry/table.rs
@@ -1,26 +1,19 @@
-//! Calls to the table service, on a thread of their own, and the reading of new records.
+//! Calls to the table service for planner roles and attempts, on a thread of their own.
 
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::Shared;
 use super::role::Try;
-use crate::config::{Change, Record};
+use super::{Shared, log};
 use crate::place::Outcome;
 use crate::store::{self, Error, Row, Write};
-use crate::unit::{Attempt, Epoch, Job, Mutation, Node, Operator, Plan, Version, Zone};
+use crate::unit::{Attempt, Epoch, Job, Mutation, Node, Version, Zone};
 
-/// Pause between two reads of new records.
+/// Longest pause between two looks whether the process stops.
 const POLL: Duration = Duration::from_millis(250);
-/// Tries of a write that loses against others.
-const TRIES: u32 = 8;
-/// Name under which the system itself changes the configuration.
-const SYSTEM: &str = "persimmon";
-/// Prefix of the records' keys.
-const RECORD_PREFIX: &str = "config/";
 
 /// Work for the table service.
 #[derive(Debug)]
@@ -62,31 +55,16 @@
     epoch: Epoch,
 }
 
-/// Carries out the orders and reads new records until the process stops.
+/// Carries out the orders until the process stops.
 pub fn run(shared: &Arc<Shared>, orders: &Receiver<Order>) {
-    let mut polled = Instant::now();
-    let mut failed = false;
     while !shared.stops() {
-        let done = match orders.recv_timeout(POLL.saturating_sub(polled.elapsed())) {
+        let done = match orders.recv_timeout(POLL) {
             Ok(order) => carry_out(shared, order),
             Err(RecvTimeoutError::Timeout) => Ok(()),
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let mut result = done;
-        if polled.elapsed() >= POLL {
-            polled = Instant::now();
-            result = result.and(refresh(shared));
-        }
-        match result {
-            Err(error) if !failed => {
-                failed = true;
-                crate::warn!(StoreFailed, "{error}");
-            }
-            Ok(()) if failed => {
-                failed = false;
-                crate::log!(StoreBack, "reads and writes go on");
-            }
-            _ => {}
+        if let Err(error) = done {
+            crate::warn!(StoreFailed, "{error}");
         }
     }
 }
@@ -103,74 +81,20 @@
             written.map(|_| ())
         }
         Order::End { job, outcome } => {
-            let change = Change::End { job, outcome };
-            let result = end(shared, &change);
-            if result.is_err() {
-                // The end must not be lost: it is tried again until the table takes it.
-                let _ = shared.work.send(Order::End { job, outcome });
-            }
-            result
+            let _ = shared.log.send(log::Order::End(job, outcome));
+            Ok(())
         }
     }
 }
 
-/// Reads the records that are new here.
-pub fn refresh(shared: &Shared) -> Result<(), Error> {
-    let held = shared.core().config.version;
-    let rows = (shared.table.scan)(RECORD_PREFIX, &key_of(held))?;
-    let mut records = Vec::new();
-    for row in rows {
-        let record: Record = serde_json::from_value(row.value).map_err(|_| Error::Malformed)?;
-        records.push(record);
-    }
-    if !records.is_empty() {
-        let now = shared.now();
-        let effects = shared.core().accept(now, records);
-        shared.perform(effects);
-    }
-    Ok(())
-}
-
-/// Writes a record; refused if another one took its version.
-pub fn append(shared: &Shared, record: &Record) -> Result<store::Outcome, Error> {
-    let write = Write {
-        key: key_of(record.version),
-        expected: Version(0),
-        mutation: record.mutation,
-        value: serde_json::to_value(record).map_err(|_| Error::Malformed)?,
-    };
-    store::commit(&shared.table, &[write])
-}
-
 /// Returns a fresh id of a write.
 pub fn mutation(shared: &Shared) -> Mutation {
     Mutation(shared.random().u64(1..))
 }
 
-fn key_of(version: Version) -> String {
-    format!("{RECORD_PREFIX}{:020}", version.0)
-}
-
-fn end(shared: &Shared, change: &Change) -> Result<(), Error> {
-    for _ in 0..TRIES {
-        refresh(shared)?;
-        let record = Record {
-            version: shared.core().config.version.next(),
-            plan: Plan(0),
-            operator: Operator::try_from(SYSTEM).map_err(|_| Error::Malformed)?,
-            mutation: mutation(shared),
-            changes: vec![change.clone()],
-        };
-        if append(shared, &record)? == store::Outcome::Applied {
-            return refresh(shared);
-        }
-    }
-    Err(Error::NoAnswer)
-}
-
 fn take_role(shared: &Shared, zone: &Zone) -> Result<(), Error> {
     let key = format!("lease/{zone}");
-    let row = (shared.table.read)(&key)?;
+    let row = (shared.table.calls.read)(&key)?;
     let (expected, epoch) = match &row {
         Some(row) => (row.version, lease_of(row)?.epoch.next()),
         None => (Version(0), Epoch(1)),
@@ -178,8 +102,7 @@
     let lease = Lease { holder: shared.settings.node.clone(), epoch };
     let value = serde_json::to_value(lease).map_err(|_| Error::Malformed)?;
     let write = Write { key, expected, mutation: mutation(shared), value };
-    refresh(shared)?;
-    if store::commit(&shared.table, &[write])? == store::Outcome::Applied {
+    if store::commit(&shared.table.calls, &[write])? == store::Outcome::Applied {
         let now = shared.now();
         let effects = shared.core().role_taken(now, zone, epoch);
         shared.perform(effects);
@@ -194,7 +117,7 @@
 /// Writes an attempt; refused if the same or a later attempt stands there already.
 fn record(shared: &Shared, epoch: Epoch, task: Try) -> Result<bool, Error> {
     let key = format!("attempt/{:020}", task.job.0);
-    let row = (shared.table.read)(&key)?;
+    let row = (shared.table.calls.read)(&key)?;
     let (expected, last) = match row {
         None => (Version(0), Attempt(0)),
         Some(row) => {
@@ -208,5 +131,5 @@
     let tried = Tried { attempt: task.attempt, epoch };
     let value = serde_json::to_value(tried).map_err(|_| Error::Malformed)?;
     let write = Write { key, expected, mutation: mutation(shared), value };
-    Ok(store::commit(&shared.table, &[write])? == store::Outcome::Applied)
+    Ok(store::commit(&shared.table.calls, &[write])? == store::Outcome::Applied)
 }
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -66,6 +66,10 @@
     StoreFailed = 601,
     /// The table service is back.
     StoreBack = 602,
+    /// A row or an object of the platform is malformed.
+    RowRefused = 603,
+    /// A whole configuration was taken over from a snapshot or another entry.
+    Adopted = 604,
 }
 
 impl fmt::Display for Event {
--- a/persimmondrift/src/intent.rs
+++ b/persimmondrift/src/intent.rs
@@ -1,16 +1,28 @@
 //! Operators' intents: what is wanted becomes a plan, and the plan a record once confirmed.
 
+mod check;
+mod describe;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::config::{Change, Config, Item, Record};
+use crate::place::Outcome;
+use crate::unit::{Accelerators, Job, Mutation, Node, Operator, Plan, Service, Version, Workspace};
 
-use crate::config::{Change, Config, Record};
-use crate::place::Shape;
-use crate::unit::{Accelerators, Mutation, Operator, Plan, Version, Workspace};
+pub use check::{CHANGES, Supply};
 
 /// What the system would do, and from which version it was worked out.
+///
+/// It is whole in itself: the operator sends it back to confirm it, to any entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Draft {
-    /// Its id.
+    /// Its id, which follows from the other fields.
     pub plan: Plan,
+    /// Makes the ids of two plans of the same changes differ.
+    pub nonce: u64,
     /// The configuration it was made from.
     pub base: Version,
     /// The changes, in order.
@@ -19,13 +31,35 @@
     pub effects: Vec<String>,
 }
 
-/// The accelerators that are there, for the check of guarantees.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Supply {
-    /// Accelerators of healthy workers.
-    pub accelerators: Accelerators,
-    /// Most accelerators of one worker.
-    pub largest: Accelerators,
+/// What an entry knows of the system beside its configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Facts {
+    /// The accelerators that are there.
+    pub supply: Supply,
+    /// The nodes that were heard of.
+    pub nodes: BTreeMap<Node, Busy>,
+}
+
+/// What a node does.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Busy {
+    /// The service that its target offers, if it has a target.
+    pub service: Option<Service>,
+    /// Requests that run.
+    pub requests: u32,
+    /// Jobs that have parts there.
+    pub jobs: BTreeSet<Job>,
+}
+
+/// A change that was made meanwhile.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Made {
+    /// The version it led to.
+    pub version: Version,
+    /// Who confirmed it.
+    pub operator: Operator,
+    /// The change.
+    pub change: Change,
 }
 
 /// Why an intent is refused.
@@ -35,9 +69,55 @@
     /// Nothing would change.
     #[error("the intent changes nothing")]
     Empty,
+    /// A number or a size is out of its bounds.
+    #[error("{field}: {found} is not from {least} to {most}")]
+    Bounds {
+        /// What it is of.
+        field: String,
+        /// The number found.
+        found: u64,
+        /// The least that is allowed.
+        least: u64,
+        /// The most that is allowed.
+        most: u64,
+    },
     /// A workspace is not known.
     #[error("workspace {0} does not exist; create it first")]
     NoWorkspace(Workspace),
+    /// A workspace that is to be removed has jobs.
+    #[error("workspace {workspace} has {jobs} jobs; cancel them first")]
+    HasJobs {
+        /// The workspace.
+        workspace: Workspace,
+        /// Its jobs that have not ended.
+        jobs: u64,
+    },
+    /// A service is not known.
+    #[error("service {0} does not exist")]
+    NoService(Service),
+    /// A node was never heard of.
+    #[error("node {0} is not known")]
+    NoNode(Node),
+    /// A node is not drained.
+    #[error("node {0} is not drained")]
+    NotDrained(Node),
+    /// A job is not known.
+    #[error("job {0} does not exist")]
+    NoJob(Job),
+    /// A job of this id exists.
+    #[error("job {0} exists; leave the id out to get a new one")]
+    JobExists(Job),
+    /// A job of this id has ended.
+    #[error("job {job} has ended: {outcome:?}")]
+    JobEnded {
+        /// The job.
+        job: Job,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// Only the system itself makes this change.
+    #[error("the end of job {0} is recorded by the system only")]
+    SystemOnly(Job),
     /// The guarantees would not fit at once.
     #[error("guarantees need {needed} accelerators, healthy workers have {supply}")]
     Overcommitted {
@@ -54,126 +134,139 @@
         /// Most accelerators of one worker.
         largest: Accelerators,
     },
-    /// The configuration changed since the plan was made.
-    #[error("planned from version {base}, but version {current} is in force; plan again")]
+    /// Others changed the same since the plan was made.
+    #[error("planned from version {base}, but the same was changed up to {current}; plan again")]
     Conflict {
         /// The version planned from.
         base: Version,
         /// The version in force.
         current: Version,
-        /// What was changed in between.
-        changes: Vec<Change>,
+        /// What was changed in between, and by whom.
+        changes: Vec<Made>,
     },
+    /// The plan was made so long ago that it is not known what changed since.
+    #[error("planned from version {base}, too far behind {current}; plan again")]
+    Stale {
+        /// The version planned from.
+        base: Version,
+        /// The version in force.
+        current: Version,
+    },
+    /// The plan that was sent back is not the plan that was made.
+    #[error("plan {0} was altered; plan again")]
+    Altered(Plan),
 }
 
 /// Makes a plan.
 ///
+/// The nonce is drawn by the caller; ids of jobs that state none follow from it.
+///
 /// # Errors
 ///
 /// Returns [`Error`] if the intent cannot be carried out.
 pub fn plan(
     config: &Config,
-    supply: Supply,
-    plan: Plan,
-    changes: Vec<Change>,
+    facts: &Facts,
+    nonce: u64,
+    mut changes: Vec<Change>,
 ) -> Result<Draft, Error> {
-    if changes.is_empty() {
-        return Err(Error::Empty);
-    }
-    let mut after = config.clone();
+    name_jobs(nonce, &mut changes);
+    check::all(config, facts, &changes)?;
     let mut effects = Vec::new();
     for change in &changes {
-        check(&after, supply, change)?;
-        effects.push(describe(change));
-        let record = record_of(after.version.next(), plan, vec![change.clone()]);
-        let applied = after.apply(&record);
-        debug_assert_eq!(applied, Ok(true));
+        effects.push(describe::effect(config, facts, change));
     }
-    let needed = guaranteed(&after);
-    if needed > guaranteed(config) && needed > supply.accelerators {
-        return Err(Error::Overcommitted { needed, supply: supply.accelerators });
+    let mut draft = Draft { plan: Plan(0), nonce, base: config.version, changes, effects };
+    draft.plan = id_of(&draft);
+    Ok(draft)
+}
+
+/// Turns a plan into the record that follows the configuration in force.
+///
+/// Changes that others made to other items meanwhile do no harm: the plan is checked again
+/// against the configuration in force.
+///
+/// # Errors
+///
+/// Returns [`Error::Conflict`] if the same items have changed since the plan, or why the plan
+/// cannot be carried out any more.
+pub fn confirm(
+    config: &Config,
+    facts: &Facts,
+    draft: &Draft,
+    since: &VecDeque<Record>,
+    operator: &Operator,
+) -> Result<Record, Error> {
+    if draft.plan != id_of(draft) || draft.base > config.version {
+        return Err(Error::Altered(draft.plan));
+    }
+    let (base, current) = (draft.base, config.version);
+    let known = since.front().is_some_and(|first| first.version <= base.next());
+    if base != current && !known {
+        return Err(Error::Stale { base, current });
+    }
+    let changes = overlap(draft, since);
+    if !changes.is_empty() {
+        return Err(Error::Conflict { base, current, changes });
     }
-    Ok(Draft { plan, base: config.version, changes, effects })
+    check::all(config, facts, &draft.changes)?;
+    Ok(record(config.version.next(), draft.plan, operator.clone(), draft.changes.clone()))
 }
 
-fn record_of(version: Version, plan: Plan, changes: Vec<Change>) -> Record {
-    let operator = Operator::try_from("plan").expect("the name is valid");
-    Record { version, plan, operator, mutation: Mutation(0), changes }
+/// Returns a record. Its mutation id follows from its content, so that the same record sent
+/// twice, or by two processes, is the same write.
+#[must_use]
+pub fn record(version: Version, plan: Plan, operator: Operator, changes: Vec<Change>) -> Record {
+    let mut hash = Xxh3Default::new();
+    hash.update(&version.0.to_be_bytes());
+    hash.update(&plan.0.to_be_bytes());
+    hash.update(operator.as_str().as_bytes());
+    hash.update(&postcard::to_stdvec(&changes).unwrap_or_default());
+    let mutation = Mutation(hash.digest());
+    Record { version, plan, operator, mutation, changes }
 }
 
-fn check(config: &Config, supply: Supply, change: &Change) -> Result<(), Error> {
-    let fits = |shape: &Shape| {
-        if shape.accelerators > supply.largest {
-            let needed = shape.accelerators;
-            return Err(Error::Impossible { needed, largest: supply.largest });
-        }
-        Ok(())
-    };
-    match change {
-        Change::PutWorkspace { quota, .. } => quota.guarantees.iter().try_for_each(fits),
-        Change::Submit { spec, .. } => {
-            if !config.workspaces.contains_key(&spec.workspace) {
-                return Err(Error::NoWorkspace(spec.workspace.clone()));
-            }
-            fits(&spec.shape)
-        }
-        _ => Ok(()),
-    }
+/// Returns the version that a plan led to, if it was confirmed.
+#[must_use]
+pub fn confirmed(records: &VecDeque<Record>, plan: Plan) -> Option<Version> {
+    records.iter().rev().find(|record| record.plan == plan).map(|record| record.version)
 }
 
-fn guaranteed(config: &Config) -> Accelerators {
-    let mut sum = Accelerators(0);
-    for quota in config.workspaces.values() {
-        for shape in &quota.guarantees {
-            sum += Accelerators(u32::from(shape.parts) * shape.accelerators.0);
+fn overlap(draft: &Draft, since: &VecDeque<Record>) -> Vec<Made> {
+    let items: BTreeSet<Item> = draft.changes.iter().map(Change::item).collect();
+    let mut made = Vec::new();
+    for record in since.iter().filter(|record| record.version > draft.base) {
+        for change in record.changes.iter().filter(|change| items.contains(&change.item())) {
+            made.push(Made {
+                version: record.version,
+                operator: record.operator.clone(),
+                change: change.clone(),
+            });
         }
     }
-    sum
+    made
 }
 
-fn describe(change: &Change) -> String {
-    match change {
-        Change::PutWorkspace { workspace, quota } => {
-            format!("workspace {workspace}: {} guaranteed shapes", quota.guarantees.len())
+/// Gives jobs without an id one that follows from the nonce.
+fn name_jobs(nonce: u64, changes: &mut [Change]) {
+    for (index, change) in changes.iter_mut().enumerate() {
+        if let Change::Submit { job, .. } = change
+            && *job == Job(0)
+        {
+            let mut hash = Xxh3Default::new();
+            hash.update(&nonce.to_be_bytes());
+            hash.update(&index.to_be_bytes());
+            // 53 bits: ids pass through JSON tools that hold numbers as floating point.
+            *job = Job((hash.digest() >> 11).max(1));
         }
-        Change::RemoveWorkspace { workspace } => format!("workspace {workspace}: removed"),
-        Change::PutService { service, serving } => {
-            format!("service {service}: timeout {} ms", serving.timeout_ms)
-        }
-        Change::RemoveService { service } => format!("service {service}: removed"),
-        Change::Drain { node } => format!("node {node}: takes no new work"),
-        Change::Undrain { node } => format!("node {node}: takes new work again"),
-        Change::Submit { job, spec } => format!(
-            "job {job}: {} parts of {} accelerators under {}",
-            spec.shape.parts, spec.shape.accelerators, spec.workspace
-        ),
-        Change::Cancel { job } => format!("job {job}: cancelled"),
-        Change::End { job, outcome } => format!("job {job}: ended, {outcome:?}"),
     }
 }
 
-/// Turns a plan into the record that follows the configuration in force.
-///
-/// # Errors
-///
-/// Returns [`Error::Conflict`] if the configuration has changed since the plan.
-pub fn confirm(
-    config: &Config,
-    draft: &Draft,
-    since: &[Record],
-    operator: &Operator,
-    mutation: Mutation,
-) -> Result<Record, Error> {
-    if draft.base != config.version {
-        let later = since.iter().filter(|record| record.version > draft.base);
-        let changes = later.flat_map(|record| record.changes.clone()).collect();
-        return Err(Error::Conflict { base: draft.base, current: config.version, changes });
-    }
-    Ok(Record {
-        version: config.version.next(),
-        plan: draft.plan,
-        operator: operator.clone(),
-        mutation,
-        changes: draft.changes.clone(),
-    })
+fn id_of(draft: &Draft) -> Plan {
+    let mut hash = Xxh3Default::new();
+    hash.update(&draft.nonce.to_be_bytes());
+    hash.update(&draft.base.0.to_be_bytes());
+    hash.update(&postcard::to_stdvec(&draft.changes).unwrap_or_default());
+    // 53 bits, as for jobs; 0 stands for no plan.
+    Plan((hash.digest() >> 11).max(1))
 }
--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod gang;
 pub mod intent;
+pub mod journal;
 pub mod member;
 pub mod place;
 pub mod route;
--- a/persimmondrift/src/member.rs
+++ b/persimmondrift/src/member.rs
@@ -93,8 +93,12 @@
     pub address: SocketAddr,
     /// Whether it takes new work.
     pub state: State,
+    /// Whether it has read the configuration since it started.
+    pub known: bool,
     /// The configuration in force there.
     pub version: Version,
+    /// The last version that changed anything that agents have to know.
+    pub settled: Version,
 }
 
 /// How a member is judged from what was heard of it.
--- a/persimmondrift/src/settings.rs
+++ b/persimmondrift/src/settings.rs
@@ -30,6 +30,8 @@
     pub entries: Vec<SocketAddr>,
     /// The base URL of the table service.
     pub table: String,
+    /// The base URL of the object store.
+    pub objects: String,
     /// The operators and the tokens that prove who they are.
     pub tokens: Vec<Token>,
 }
--- a/persimmondrift/src/wire.rs
+++ b/persimmondrift/src/wire.rs
@@ -16,6 +16,10 @@
 pub const FRAME_BYTES: usize = 2 << 20;
 /// Largest frame in a datagram, in bytes.
 pub const DATAGRAM_BYTES: usize = 60_000;
+/// Largest piece of an update, in bytes.
+const CHUNK_BYTES: usize = 1 << 20;
+/// Largest update, in bytes: a configuration with its most jobs.
+pub const UPDATE_BYTES: usize = 128 << 20;
 
 /// A message with its source.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +34,15 @@
     pub body: Body,
 }
 
+/// A piece of something larger than a frame.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Whether it is the last piece.
+    pub last: bool,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// A message between processes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -49,12 +62,14 @@
     Cancel(Request),
     /// Agent to entry: whether it is proved that the request did not run.
     Cancelled(Request, bool),
-    /// Any to entry: send the records after this version.
+    /// Entry to entry: send what follows this version.
     Fetch(Version),
-    /// Entry to any: the records asked for, none if there are none.
-    Records(Vec<config::Record>),
-    /// Entry to any: a whole configuration, when records are missing.
-    Whole(config::Config),
+    /// Agent to entry: send what follows this version, without jobs.
+    Follow(Version),
+    /// Entry to agent: changes as soon as they are accepted.
+    Push(config::Update),
+    /// A piece of an [`config::Update`] that may be larger than a frame.
+    Chunk(Chunk),
 }
 
 /// Reports a frame that cannot be sent or read.
@@ -144,3 +159,46 @@
     from.read_exact(&mut bytes)?;
     decode(&bytes)
 }
+
+/// Writes an update to a connection, in as many frames as it needs.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the update is too large or the connection fails.
+pub fn write_update(
+    mut to: impl Write,
+    update: &config::Update,
+    frame: impl Fn(Body) -> Frame,
+) -> Result<(), Error> {
+    let bytes = postcard::to_stdvec(update)?;
+    if bytes.len() > UPDATE_BYTES {
+        return Err(Error::Size { found: bytes.len(), limit: UPDATE_BYTES });
+    }
+    let mut pieces = bytes.chunks(CHUNK_BYTES).peekable();
+    while let Some(piece) = pieces.next() {
+        let chunk = Chunk { last: pieces.peek().is_none(), bytes: piece.to_vec() };
+        write(&mut to, &frame(Body::Chunk(chunk)))?;
+    }
+    Ok(())
+}
+
+/// Reads an update from a connection.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the connection fails, or the update is too large or malformed.
+pub fn read_update(mut from: impl Read) -> Result<config::Update, Error> {
+    let mut bytes = Vec::new();
+    loop {
+        let Body::Chunk(chunk) = read(&mut from)?.body else {
+            return Err(postcard::Error::DeserializeBadEncoding.into());
+        };
+        bytes.extend_from_slice(&chunk.bytes);
+        if bytes.len() > UPDATE_BYTES {
+            return Err(Error::Size { found: bytes.len(), limit: UPDATE_BYTES });
+        }
+        if chunk.last {
+            return Ok(postcard::from_bytes(&bytes)?);
+        }
+    }
+}
--- a/persimmondrift/tests/table_contract.rs
+++ b/persimmondrift/tests/table_contract.rs
@@ -11,6 +11,11 @@
 use standin::fault::Fault::{self, Fail, LoseAnswer, Refuse};
 use standin::table::Table;
 
+/// A name, the fault of each call, what is told, and the version of the rows afterwards.
+type Faulty<'a> = (&'a str, &'a [Option<Fault>], Result<Outcome, Error>, u64);
+/// A name, a fault, the writes, the writes of others in between, and what is told.
+type Between<'a> = (&'a str, Option<Fault>, Vec<Write>, Vec<Write>, Outcome);
+
 fn write(key: &str, expected: u64, mutation: u64) -> Write {
     let (expected, mutation) = (Version(expected), Mutation(mutation));
     Write { key: key.to_owned(), expected, mutation, value: json!(mutation) }
@@ -40,10 +45,9 @@
 
 #[test]
 fn outcomes_under_faults() {
-    type Case<'a> = (&'a str, &'a [Option<Fault>], Result<Outcome, Error>, u64);
     let refused = Some(Refuse);
     let lost = Some(LoseAnswer);
-    let cases: [Case; 8] = [
+    let cases: [Faulty; 8] = [
         ("no fault", &[], Ok(Outcome::Applied), 1),
         ("answer lost", &[lost], Ok(Outcome::Applied), 1),
         ("nothing done, then lost", &[refused, None, lost], Ok(Outcome::Applied), 1),
@@ -75,8 +79,7 @@
 fn others_come_in_between() {
     let mine = || vec![write("lease", 1, 7)];
     let both = || vec![write("lease", 1, 7), write("other", 0, 7)];
-    type Case<'a> = (&'a str, Option<Fault>, Vec<Write>, Vec<Write>, Outcome);
-    let cases: [Case; 6] = [
+    let cases: [Between; 6] = [
         (
             "applied, overwritten",
             Some(LoseAnswer),
