--- a/persimmondrift/src/entry/log.rs
+++ b/persimmondrift/src/entry/log.rs
@@ -124,7 +124,10 @@
                     let effects = self.shared.core().tell_entries();
                     self.shared.perform(effects);
                 }
-                Effect::Adopt(config) => self.shared.core().adopt(*config),
+                Effect::Adopt(config) => {
+                    let effects = self.shared.core().adopt(*config);
+                    self.shared.perform(effects);
+                }
                 Effect::Remember(records) => self.shared.core().remember(records),
                 Effect::Told(ticket, result) => {
                     if let Some(reply) = self.replies.remove(&ticket) {
@@ -162,7 +165,10 @@
             };
             let now = self.shared.now();
             match update {
-                Update::Whole(config) => self.shared.core().adopt(*config),
+                Update::Whole(config) => {
+                    let effects = self.shared.core().adopt(*config);
+                    self.shared.perform(effects);
+                }
                 Update::Records(records) => {
                     let effects = self.shared.core().accept(now, records);
                     self.shared.perform(effects);
