--- a/persimmondrift/src/metric.rs
+++ b/persimmondrift/src/metric.rs
@@ -244,6 +244,7 @@
         match self {
             Self::Applied => "ok",
             Self::Refused => "condition",
+            Self::Overtaken => "overtaken",
         }
     }
 }
