--- a/persimmonctl/src/client.rs
+++ b/persimmonctl/src/client.rs
@@ -1,5 +1,6 @@
 //! Calls of the operators' HTTP of the entries.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use persimmondrift::adapter::operator::{Explained, Status, Told};
@@ -62,7 +63,9 @@
                     Some(whole) => merge(whole, *status),
                 },
                 Ok(_) => return Err(Error::Answer(entry)),
-                Err(Error::NoEntry(text)) => failures.push(text),
+                Err(error @ (Error::NoEntry(_) | Error::Lost(..))) => {
+                    failures.push(error.to_string());
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -84,7 +87,9 @@
                     }
                 },
                 Ok(_) => return Err(Error::Answer(entry)),
-                Err(Error::NoEntry(text)) => failures.push(text),
+                Err(error @ (Error::NoEntry(_) | Error::Lost(..))) => {
+                    failures.push(error.to_string());
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -98,13 +103,18 @@
     /// Calls the entries in turn until one knows the answer.
     fn first(&self, path: &str, body: Option<&[u8]>) -> Result<(SocketAddr, Told), Error> {
         let mut failures = Vec::new();
-        let mut refusal = None;
+        let mut refusal: Option<Error> = None;
         for &entry in &self.request.entries {
             match self.call(entry, path, body) {
                 Ok(told) => return Ok((entry, told)),
                 Err(Error::NoEntry(text)) => failures.push(text),
-                // Another entry may know the plan, or reach the table service.
-                Err(error @ Error::Refused { status: 404 | 503, .. }) => refusal = Some(error),
+                // Another entry may know the plan, or reach the table service. Asking it is
+                // safe, since a plan is accepted once at most.
+                Err(error) if rank(&error) > 0 => {
+                    if refusal.as_ref().is_none_or(|other| rank(other) < rank(&error)) {
+                        refusal = Some(error);
+                    }
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -119,9 +129,14 @@
             Some(body) => self.agent.post(&url).header("Authorization", token).send(body),
             None => self.agent.get(&url).header("Authorization", token).call(),
         };
-        let mut response = sent.map_err(no_entry)?;
+        let lost = |error: ureq::Error| match error {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => no_entry(error),
+            ureq::Error::Io(ref io) if io.kind() == ErrorKind::ConnectionRefused => no_entry(error),
+            _ => Error::Lost(entry, error.to_string()),
+        };
+        let mut response = sent.map_err(lost)?;
         let status = response.status().as_u16();
-        let body = response.body_mut().read_to_vec().map_err(no_entry)?;
+        let body = response.body_mut().read_to_vec().map_err(lost)?;
         if status == 200 {
             return serde_json::from_slice(&body).map_err(|_| Error::Answer(entry));
         }
@@ -131,6 +146,16 @@
     }
 }
 
+/// Orders the refusals after which another entry is asked by how much they leave open.
+fn rank(error: &Error) -> u8 {
+    match error {
+        Error::Lost(..) | Error::Refused { status: 504, .. } => 3,
+        Error::Refused { status: 503, .. } => 2,
+        Error::Refused { status: 404, .. } => 1,
+        _ => 0,
+    }
+}
+
 /// Adds what another entry knows.
 fn merge(whole: &mut Status, other: Status) {
     if other.config.version > whole.config.version {
--- a/persimmonctl/src/show.rs
+++ b/persimmonctl/src/show.rs
@@ -216,7 +216,7 @@
 
 Exit codes:
   0  done, or nothing to do
-  1  no entry answered: nothing was accepted
+  1  the entries or the table service do not answer: nothing was accepted
   2  arguments, a file or settings are wrong
   3  refused; the message says why
   4  the configuration changed since the plan was made: plan again
