--- a/persimmondrift/src/adapter/link.rs
+++ b/persimmondrift/src/adapter/link.rs
@@ -53,6 +53,12 @@
         self.address
     }
 
+    /// Returns the start of this process.
+    #[must_use]
+    pub fn boot(&self) -> Boot {
+        self.boot
+    }
+
     /// Puts a message into a frame of this process.
     #[must_use]
     pub fn frame(&self, body: Body) -> Frame {
--- a/persimmondrift/src/adapter/worker.rs
+++ b/persimmondrift/src/adapter/worker.rs
@@ -52,6 +52,8 @@
 pub struct Listed {
     /// The part.
     pub task: Task,
+    /// The accelerators, one bit each.
+    pub mask: u64,
     /// Its state.
     pub state: State,
 }
@@ -85,7 +87,8 @@
         Self { agent: ureq::Agent::new_with_config(config), base: base.to_owned() }
     }
 
-    /// Starts a part. A part that runs already goes on.
+    /// Starts a part. A part that runs already goes on; one that was stopped, or whose lease
+    /// has lapsed, stays stopped.
     ///
     /// # Errors
     ///
@@ -94,7 +97,7 @@
         self.post("/tasks/start", start).map(|_| ())
     }
 
-    /// Renews the lease of a part.
+    /// Renews the lease of a part; one whose lease has lapsed stays stopped.
     ///
     /// # Errors
     ///
@@ -103,7 +106,7 @@
         self.post("/tasks/renew", renew).map(|_| ())
     }
 
-    /// Stops a part.
+    /// Stops a part. One that is not known yet will not start later.
     ///
     /// # Errors
     ///
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -22,6 +22,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Pause between two looks at the parts of the worker.
 const LIST_EVERY: Duration = Duration::from_millis(200);
+/// Times that pause while the worker has no parts.
+const IDLE_LISTS: u32 = 5;
 /// Connections of entries served at once.
 const CONNECTIONS: usize = 256;
 
@@ -56,7 +58,7 @@
     let (work, orders) = mpsc::channel();
     let connections = usize::try_from(settings.capacity.connections.0).unwrap_or(usize::MAX);
     let shared = Arc::new(Shared {
-        core: Mutex::new(Core::new(&settings, link.address())),
+        core: Mutex::new(Core::new(&settings, boot, link.address())),
         target: target::client(connections),
         worker: worker::Client::new(&settings.worker),
         work,
@@ -183,13 +185,19 @@
 
     fn list(self: &Arc<Self>) {
         while !self.stops() {
-            thread::sleep(LIST_EVERY);
-            if self.core().runs_parts()
-                && let Ok(listed) = self.worker.list()
-            {
-                let effects = self.core().listed(&listed);
+            let asked = self.now();
+            if let Ok(listed) = self.worker.list() {
+                let now = self.now();
+                let effects = self.core().listed(now, asked, &listed);
                 self.perform(effects);
             }
+            thread::sleep(LIST_EVERY);
+            // A worker without parts is asked less often; a part that started late is found.
+            for _ in 1..IDLE_LISTS {
+                if !self.core().runs_parts() && !self.stops() {
+                    thread::sleep(LIST_EVERY);
+                }
+            }
         }
     }
 
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 
 use super::work::Order;
-use crate::adapter::worker::{self, Listed};
+use crate::adapter::worker::Listed;
 use crate::admit::Gate;
 use crate::config::Config;
-use crate::gang::{Action, Holder, Phase, Task};
+use crate::gang::{Action, Holder, Phase, Started, Task};
 use crate::member::{ANNOUNCE_EVERY, Announce, Load, Presence, State, View};
 use crate::settings;
-use crate::unit::{Node, Time, Version};
+use crate::unit::{Boot, Node, Time, Version};
 use crate::wire::{Body, Frame};
 
 /// What the agent's process does.
@@ -51,7 +51,7 @@
 
 impl Core {
     /// Creates the state of an agent that listens at an address.
-    pub fn new(settings: &settings::Agent, address: SocketAddr) -> Self {
+    pub fn new(settings: &settings::Agent, boot: Boot, address: SocketAddr) -> Self {
         Self {
             node: settings.node.clone(),
             announce: Announce {
@@ -72,7 +72,7 @@
             leaving: false,
             planners: BTreeMap::new(),
             gate: Gate::new(settings.capacity.slots),
-            holder: Holder::default(),
+            holder: Holder::new(boot),
         }
     }
 
@@ -91,7 +91,7 @@
 
     /// Returns whether any part is held or runs.
     pub fn runs_parts(&self) -> bool {
-        !self.holder.holdings().is_empty()
+        !self.holder.is_empty()
     }
 
     /// Takes in a datagram.
@@ -137,24 +137,21 @@
         self.apply_state();
     }
 
-    /// Takes in the parts that the worker knows.
-    pub fn listed(&mut self, listed: &[Listed]) -> Vec<Effect> {
-        let mut actions = Vec::new();
-        for part in listed {
-            match part.state {
-                worker::State::Running => {}
-                worker::State::Finished => actions.extend(self.holder.ended(part.task, true)),
-                worker::State::Failed | worker::State::Stopped => {
-                    actions.extend(self.holder.ended(part.task, false));
-                }
-            }
-        }
+    /// Takes in the parts that the worker knows, as asked for at a time.
+    pub fn listed(&mut self, now: Time, asked: Time, listed: &[Listed]) -> Vec<Effect> {
+        let actions = self.holder.listed(now, asked, listed);
+        self.act(actions)
+    }
+
+    /// Takes in what came of a call that starts a part.
+    pub fn started(&mut self, now: Time, task: Task, started: Started) -> Vec<Effect> {
+        let actions = self.holder.started(now, task, started);
         self.act(actions)
     }
 
-    /// Takes in that a part could not be started.
-    pub fn failed(&mut self, task: Task) -> Vec<Effect> {
-        let actions = self.holder.ended(task, false);
+    /// Takes in what came of a call that stops a part.
+    pub fn stopped(&mut self, now: Time, task: Task, confirmed: bool) -> Vec<Effect> {
+        let actions = self.holder.stopped(now, task, confirmed);
         self.act(actions)
     }
 
@@ -198,24 +195,18 @@
         let mut effects = Vec::new();
         for action in actions {
             match action {
-                Action::Start { task, mask, lease, spec } => {
-                    let start = worker::Start { task, mask, lease, spec };
-                    effects.push(Effect::Work(Order::Start(start)));
+                Action::Start { task, mask, until, spec } => {
+                    effects.push(Effect::Work(Order::Start { task, mask, until, spec }));
                 }
-                Action::Renew { task, lease } => {
-                    effects.push(Effect::Work(Order::Renew(worker::Renew { task, lease })));
+                Action::Renew { task, until } => {
+                    effects.push(Effect::Work(Order::Renew { task, until }));
                 }
                 Action::Stop { task } => effects.push(Effect::Work(Order::Stop(task))),
                 Action::Report(report) => {
-                    let ended = matches!(report.phase, Phase::Finished | Phase::Failed);
-                    if ended {
-                        crate::log!(
-                            AttemptOver,
-                            "{:?} at {}: {:?}",
-                            report.task,
-                            self.node,
-                            report.phase
-                        );
+                    for part in report.holdings.iter().filter(|_| !report.whole) {
+                        if matches!(part.phase, Phase::Finished | Phase::Failed) {
+                            crate::log!(PartEnded, "{part:?} at {}", self.node);
+                        }
                     }
                     for &planner in self.planners.values() {
                         effects.push(Effect::Send(planner, Body::Report(report.clone())));
--- a/persimmondrift/src/agent/work.rs
+++ b/persimmondrift/src/agent/work.rs
@@ -5,19 +5,37 @@
 use std::time::Duration;
 
 use super::Shared;
-use crate::adapter::worker::{Renew, Start};
-use crate::gang::Task;
+use crate::adapter::worker::{Error, Renew, Start};
+use crate::gang::{Started, Task};
+use crate::place;
+use crate::unit::{Millis, Time};
 
 /// Time a receive call waits before it looks whether the process stops.
 const POLL: Duration = Duration::from_millis(100);
+/// First status of an error of the worker itself: the call may have taken effect.
+const SERVER_ERROR: u16 = 500;
 
 /// A call to the worker.
 #[derive(Debug)]
 pub enum Order {
     /// Starts a part.
-    Start(Start),
+    Start {
+        /// The part.
+        task: Task,
+        /// The accelerators, one bit each.
+        mask: u64,
+        /// The end of the lease.
+        until: Time,
+        /// What the job needs.
+        spec: place::Spec,
+    },
     /// Renews the lease of a part.
-    Renew(Renew),
+    Renew {
+        /// The part.
+        task: Task,
+        /// The end of the lease.
+        until: Time,
+    },
     /// Stops a part.
     Stop(Task),
 }
@@ -26,17 +44,51 @@
 pub fn run(shared: &Arc<Shared>, orders: &Receiver<Order>) {
     while !shared.stops() {
         match orders.recv_timeout(POLL) {
-            Ok(Order::Start(start)) => {
-                if shared.worker.start(&start).is_err() {
-                    let effects = shared.core().failed(start.task);
-                    shared.perform(effects);
-                }
-            }
-            // A renewal or stop that is lost is made up for by the worker's own timer.
-            Ok(Order::Renew(renew)) => drop(shared.worker.renew(&renew)),
-            Ok(Order::Stop(task)) => drop(shared.worker.stop(task)),
+            Ok(order) => carry_out(shared, order),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
     }
 }
+
+/// The lease is worked out at the call, so that an order that waited does not stretch it.
+fn carry_out(shared: &Arc<Shared>, order: Order) {
+    let effects = match order {
+        Order::Start { task, mask, until, spec } => {
+            let started = match left(shared, until) {
+                Some(lease) => outcome(shared.worker.start(&Start { task, mask, lease, spec })),
+                None => Started::Unknown,
+            };
+            let now = shared.now();
+            shared.core().started(now, task, started)
+        }
+        // A renewal that is lost is made up for by the next one, or the worker's own timer.
+        Order::Renew { task, until } => {
+            if let Some(lease) = left(shared, until) {
+                let _ = shared.worker.renew(&Renew { task, lease });
+            }
+            return;
+        }
+        Order::Stop(task) => {
+            let confirmed = shared.worker.stop(task).is_ok();
+            let now = shared.now();
+            shared.core().stopped(now, task, confirmed)
+        }
+    };
+    shared.perform(effects);
+}
+
+fn outcome(result: Result<(), Error>) -> Started {
+    match result {
+        Ok(()) => Started::Confirmed,
+        Err(Error::Status(status)) if status < SERVER_ERROR => Started::Refused,
+        Err(_) => Started::Unknown,
+    }
+}
+
+/// Returns what is left of a lease, if anything.
+fn left(shared: &Shared, until: Time) -> Option<Millis> {
+    let left = until.since(shared.now());
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    (millis > 0).then_some(Millis(millis))
+}
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -1,10 +1,11 @@
 //! The entry process: callers' requests, operators' intents, and the planner role of zones.
 
 mod core;
+mod lease;
 mod operate;
 mod pool;
 mod request;
-mod role;
+pub mod role;
 mod table;
 
 use std::net::SocketAddr;
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use super::lease::Seeker;
 use super::role::{self, Role};
 use super::table::Order;
 use crate::config::{Change, Config, Record};
@@ -48,6 +49,7 @@
     pub(super) records: VecDeque<Record>,
     pub(super) drafts: BTreeMap<Plan, Draft>,
     pub(super) roles: BTreeMap<Zone, Role>,
+    pub(super) seeker: Seeker,
     pub(super) ended: VecDeque<(Job, Outcome)>,
 }
 
@@ -67,6 +69,7 @@
             records: VecDeque::new(),
             drafts: BTreeMap::new(),
             roles: BTreeMap::new(),
+            seeker: Seeker::default(),
             ended: VecDeque::new(),
         }
     }
@@ -98,7 +101,7 @@
         if self.announced.is_none_or(|last| now.since(last) >= ANNOUNCE_EVERY) {
             effects.extend(self.announce(now));
             if now.since(started) >= ROLE_AFTER {
-                effects.extend(self.seek_roles());
+                effects.extend(self.seek_roles(now));
             }
         }
         let mut asked = Vec::new();
@@ -142,9 +145,9 @@
     /// Takes in that this entry holds the planner role of a zone.
     pub fn role_taken(&mut self, now: Time, zone: &Zone, epoch: Epoch) -> Vec<Effect> {
         crate::log!(RoleTaken, "zone {zone}, epoch {epoch}, {}", self.node);
-        let mut role = Role::new(zone.clone(), epoch);
+        let mut role = Role::new(now, zone.clone(), epoch);
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
-            role.put_worker(node, &member.said);
+            role.put_worker(now, node, member.boot, &member.said);
         }
         for (&job, spec) in &self.config.jobs {
             role.submit(now, job, spec);
@@ -154,14 +157,34 @@
     }
 
     /// Takes in whether an attempt was written to the table.
-    pub fn recorded(&mut self, now: Time, zone: &Zone, task: role::Try, ok: bool) -> Vec<Effect> {
-        let Some(role) = self.roles.get_mut(zone) else {
+    pub fn recorded(
+        &mut self,
+        now: Time,
+        zone: &Zone,
+        epoch: Epoch,
+        task: role::Try,
+        recorded: role::Recorded,
+    ) -> Vec<Effect> {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
             return Vec::new();
         };
-        let effects = role.recorded(now, task, ok);
+        let effects = role.recorded(now, task, recorded);
         self.carry_out(effects)
     }
 
+    /// Takes in whether the planner role of a zone was found to be held under an epoch;
+    /// `None` if the table gave no answer.
+    pub fn role_checked(&mut self, zone: &Zone, epoch: Epoch, asked: Time, held: Option<bool>) {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
+            return;
+        };
+        role.checked(asked, held == Some(true));
+        if held == Some(false) {
+            crate::log!(RoleLost, "zone {zone}, epoch {epoch} is over, {}", self.node);
+            self.roles.remove(zone);
+        }
+    }
+
     /// Returns the records after a version, or the whole configuration.
     pub fn since(&self, version: Version) -> Body {
         if version >= self.config.version {
@@ -220,7 +243,7 @@
                     if let Some(member) = self.agents.get(&node)
                         && let Some(role) = self.roles.get_mut(&member.said.place.zone)
                     {
-                        role.put_worker(&node, &member.said);
+                        role.put_worker(now, &node, member.boot, &member.said);
                     }
                 }
                 member::Effect::Lost(node) => {
@@ -228,7 +251,10 @@
                         asked.extend(role.lost(now, &node));
                     }
                 }
-                member::Effect::Suspected(_) | member::Effect::Recovered(_) => {}
+                member::Effect::Suspected(node) => {
+                    self.roles.values_mut().for_each(|role| role.suspect(&node));
+                }
+                member::Effect::Recovered(_) => {}
             }
         }
         self.carry_out(asked)
@@ -256,18 +282,22 @@
     }
 
     /// Asks for the planner role of each zone that falls to this entry.
-    fn seek_roles(&self) -> Vec<Effect> {
-        let mut zones: Vec<&Zone> = Vec::new();
+    fn seek_roles(&mut self, now: Time) -> Vec<Effect> {
+        let mut zones: Vec<Zone> = Vec::new();
         for (_, member) in self.agents.alive() {
             let zone = &member.said.place.zone;
-            if !zones.contains(&zone) && !self.roles.contains_key(zone) {
-                zones.push(zone);
+            if !zones.contains(zone) && !self.roles.contains_key(zone) {
+                zones.push(zone.clone());
             }
         }
-        let entries: Vec<&Node> = self.entries.alive().map(|(node, _)| node).collect();
-        let mine = |zone: &&Zone| role::falls_to(zone, &self.node, &entries);
-        let seek = |zone: &Zone| Effect::Table(Order::TakeRole { zone: zone.clone() });
-        zones.into_iter().filter(mine).map(seek).collect()
+        let stay = || self.entries.alive().filter(|(_, m)| m.said.state == State::Serving);
+        let entries: Vec<&Node> = stay().map(|(node, _)| node).collect();
+        let alive = |node: &Node, boot| stay().any(|(n, m)| n == node && m.boot == boot);
+        zones.retain(|zone| {
+            let mine = role::falls_to(zone, &self.node, &entries);
+            mine && self.seeker.seeks(now, zone, alive)
+        });
+        zones.into_iter().map(|zone| Effect::Table(Order::TakeRole { zone })).collect()
     }
 
     fn carry_out(&self, asked: Vec<role::Effect>) -> Vec<Effect> {
@@ -279,8 +309,11 @@
                         effects.push(Effect::Send(member.address, Body::Command(command)));
                     }
                 }
-                role::Effect::Record { zone, epoch, task } => {
-                    effects.push(Effect::Table(Order::Record { zone, epoch, task }));
+                role::Effect::Check { zone, epoch, asked } => {
+                    effects.push(Effect::Table(Order::CheckRole { zone, epoch, asked }));
+                }
+                role::Effect::Record { zone, epoch, task, nodes } => {
+                    effects.push(Effect::Table(Order::Record { zone, epoch, task, nodes }));
                 }
                 role::Effect::End { job, outcome } => {
                     effects.push(Effect::Table(Order::End { job, outcome }));
--- /dev/null
+++ b/persimmondrift/src/entry/lease.rs
@@ -0,0 +1,211 @@
+//! The rows of the planner roles and of the jobs' attempts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Shared;
+use super::role::{Recorded, Try};
+use super::table;
+use crate::member::{Judgement, State};
+use crate::store::{self, Error, Outcome, Row, Write};
+use crate::unit::{Attempt, Boot, Epoch, Node, Time, Version, Zone};
+
+/// Pause before a role is asked for again after a failure; it doubles up to the longest.
+const SEEK_AGAIN: Duration = Duration::from_millis(500);
+/// The longest such pause.
+const SEEK_AGAIN_MOST: Duration = Duration::from_secs(8);
+/// Doublings of the pause that lead to the longest.
+const DOUBLINGS: u32 = 4;
+
+/// The row of a zone's planner role. Each attempt that is recorded in the zone writes it
+/// too, so that a planner who lost the role cannot record one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The entry that plans the zone.
+    pub holder: Node,
+    /// The start of its process.
+    pub boot: Boot,
+    /// The epoch of the role.
+    pub epoch: Epoch,
+}
+
+/// The row of a job's attempts.
+#[derive(Debug, Serialize, Deserialize)]
+struct Tried {
+    attempt: Attempt,
+    zone: Zone,
+    epoch: Epoch,
+    nodes: Vec<Node>,
+}
+
+/// Who holds the roles that this entry does not hold, as far as it has asked.
+#[derive(Debug, Default)]
+pub struct Seeker {
+    zones: BTreeMap<Zone, Seek>,
+}
+
+#[derive(Debug, Default)]
+struct Seek {
+    waits: bool,
+    next: Time,
+    failures: u32,
+    holder: Option<(Node, Boot)>,
+}
+
+impl Seeker {
+    /// Returns whether the table is to be asked for a role now; `alive` tells whether a
+    /// holder is heard of and stays.
+    pub fn seeks(&mut self, now: Time, zone: &Zone, alive: impl Fn(&Node, Boot) -> bool) -> bool {
+        let seek = self.zones.entry(zone.clone()).or_default();
+        let held = seek.holder.as_ref().is_some_and(|(node, boot)| alive(node, *boot));
+        if seek.waits || held || now < seek.next {
+            return false;
+        }
+        seek.waits = true;
+        true
+    }
+
+    /// Takes in what the table answered: the holder, or nothing if it gave no answer.
+    pub fn sought(&mut self, now: Time, zone: &Zone, holder: Option<(Node, Boot)>) {
+        let seek = self.zones.entry(zone.clone()).or_default();
+        seek.waits = false;
+        seek.failures = if holder.is_some() { 0 } else { seek.failures + 1 };
+        let pause = SEEK_AGAIN * (1 << seek.failures.min(DOUBLINGS));
+        seek.next = now + SEEK_AGAIN_MOST.min(pause);
+        seek.holder = holder;
+    }
+}
+
+/// Takes the planner role of a zone, unless its holder is heard of and stays.
+pub fn take_role(shared: &Shared, zone: &Zone) -> Result<(), Error> {
+    let result = try_take(shared, zone);
+    let now = shared.now();
+    let holder = result.as_ref().ok().map(|lease| (lease.holder.clone(), lease.boot));
+    shared.core().seeker.sought(now, zone, holder);
+    let lease = result?;
+    if lease.holder == shared.settings.node && lease.boot == shared.link.boot() {
+        let effects = shared.core().role_taken(now, zone, lease.epoch);
+        shared.perform(effects);
+    }
+    Ok(())
+}
+
+fn try_take(shared: &Shared, zone: &Zone) -> Result<Lease, Error> {
+    let key = lease_key(zone);
+    let row = (shared.table.read)(&key)?;
+    let (expected, epoch) = match &row {
+        Some(row) => {
+            let lease: Lease = decode(row)?;
+            if holds(shared, &lease) {
+                return Ok(lease);
+            }
+            (row.version, lease.epoch.next())
+        }
+        None => (Version(0), Epoch(1)),
+    };
+    let (holder, boot) = (shared.settings.node.clone(), shared.link.boot());
+    let lease = Lease { holder, boot, epoch };
+    let write = write_of(shared, key, expected, &lease)?;
+    if store::commit(&shared.table, &[write])? == Outcome::Refused {
+        return Ok(read_lease(shared, zone)?.1);
+    }
+    table::refresh(shared)?;
+    Ok(lease)
+}
+
+/// Returns whether the holder of a role is heard of and stays.
+fn holds(shared: &Shared, lease: &Lease) -> bool {
+    let core = shared.core();
+    let member = core.entries.get(&lease.holder);
+    member.is_some_and(|member| {
+        let stays = member.said.state == State::Serving;
+        member.boot == lease.boot && member.judgement == Judgement::Alive && stays
+    })
+}
+
+/// Reads whether the planner role of a zone is still held under an epoch.
+pub fn check_role(shared: &Shared, zone: &Zone, epoch: Epoch, asked: Time) -> Result<(), Error> {
+    let read = read_lease(shared, zone);
+    let held = match &read {
+        Ok((_, lease)) => Some(lease.epoch == epoch && lease.boot == shared.link.boot()),
+        Err(_) => None,
+    };
+    shared.core().role_checked(zone, epoch, asked, held);
+    read.map(drop)
+}
+
+/// Writes an attempt, and tells the planner what came of it.
+pub fn record(
+    shared: &Shared,
+    zone: &Zone,
+    epoch: Epoch,
+    task: Try,
+    nodes: Vec<Node>,
+) -> Result<(), Error> {
+    let result = try_record(shared, zone, epoch, task, nodes);
+    let recorded = result.as_ref().map_or(Recorded::Unwritten, Recorded::clone);
+    let now = shared.now();
+    let effects = shared.core().recorded(now, zone, epoch, task, recorded);
+    shared.perform(effects);
+    result.map(drop)
+}
+
+/// Writes an attempt on two conditions: the role is held under the epoch, and no attempt
+/// with this number or a later one stands in the table.
+fn try_record(
+    shared: &Shared,
+    zone: &Zone,
+    epoch: Epoch,
+    task: Try,
+    nodes: Vec<Node>,
+) -> Result<Recorded, Error> {
+    let (held, lease) = read_lease(shared, zone)?;
+    if lease.epoch != epoch || lease.boot != shared.link.boot() {
+        return Ok(Recorded::Unwritten);
+    }
+    let key = format!("attempt/{:020}", task.job.0);
+    let row = (shared.table.read)(&key)?;
+    let mut expected = Version(0);
+    if let Some(row) = &row {
+        let last: Tried = decode(row)?;
+        if last.attempt >= task.attempt {
+            let (zone, attempt, nodes) = (last.zone, last.attempt, last.nodes);
+            return Ok(Recorded::Behind { zone, attempt, nodes });
+        }
+        expected = row.version;
+    }
+    let tried = Tried { attempt: task.attempt, zone: zone.clone(), epoch, nodes };
+    let writes = [
+        write_of(shared, key, expected, &tried)?,
+        write_of(shared, lease_key(zone), held, &lease)?,
+    ];
+    match store::commit(&shared.table, &writes)? {
+        Outcome::Applied => Ok(Recorded::Written),
+        Outcome::Refused => Ok(Recorded::Unwritten),
+    }
+}
+
+fn read_lease(shared: &Shared, zone: &Zone) -> Result<(Version, Lease), Error> {
+    let row = (shared.table.read)(&lease_key(zone))?.ok_or(Error::Malformed)?;
+    Ok((row.version, decode(&row)?))
+}
+
+fn lease_key(zone: &Zone) -> String {
+    format!("lease/{zone}")
+}
+
+fn decode<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T, Error> {
+    T::deserialize(&row.value).map_err(|_| Error::Malformed)
+}
+
+fn write_of(
+    shared: &Shared,
+    key: String,
+    expected: Version,
+    value: &impl Serialize,
+) -> Result<Write, Error> {
+    let value = serde_json::to_value(value).map_err(|_| Error::Malformed)?;
+    Ok(Write { key, expected, mutation: table::mutation(shared), value })
+}
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -1,14 +1,39 @@
 //! The planner role of one availability zone.
+//!
+//! A new planner first makes its epoch known to the agents and learns what they run. It
+//! goes on with the attempts whose parts all run, stops the others, and starts a job only
+//! when the table has taken the attempt in under its epoch.
+
+mod succession;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::succession::{Lot, Prior, SETTLE_WITHIN, Succession};
 use crate::config::Change;
-use crate::gang::{self, Command, Coordinator, Ending, Report, Term};
-use crate::member::{Announce, State};
-use crate::place::{self, Outcome, Planner, Spec, Summary};
-use crate::unit::{Attempt, Epoch, Job, Node, Time, Zone};
+use crate::gang::{self, Command, Coordinator, Ending, Holding, Phase, Report, Term};
+use crate::member::Announce;
+use crate::place::{self, Outcome, Planner, Seat, Spec, Summary};
+use crate::unit::{Attempt, Boot, Epoch, Job, Node, Time, Zone};
+
+pub use self::succession::silent_within;
+
+/// Pause between two checks of the role's row in the table.
+pub const CHECK_EVERY: Duration = Duration::from_secs(1);
+/// The same while a new agent waits for it.
+const CHECK_SOON: Duration = Duration::from_millis(100);
+/// Time given to a check; after it, what runs is renewed without one.
+const CHECK_WITHIN: Duration = Duration::from_secs(2);
+/// Time without a tick after which the role must be checked before anything is done.
+pub const PAUSED_AFTER: Duration = Duration::from_secs(2);
+/// Pause before a job is placed again that an agent or the table service has refused.
+const PLACE_AGAIN: Duration = Duration::from_millis(500);
+/// Pause before the end of a job is written again; it doubles up to the longest.
+const END_AGAIN: Duration = Duration::from_secs(1);
+/// The longest such pause.
+const END_AGAIN_MOST: Duration = Duration::from_secs(8);
 
 /// Names one attempt of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +44,24 @@
     pub attempt: Attempt,
 }
 
+/// What came of writing an attempt to the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Recorded {
+    /// It stands there.
+    Written,
+    /// It does not stand there, or that could not be found out.
+    Unwritten,
+    /// The same or a later attempt stands there.
+    Behind {
+        /// The zone that it runs in.
+        zone: Zone,
+        /// The attempt.
+        attempt: Attempt,
+        /// The nodes of its parts.
+        nodes: Vec<Node>,
+    },
+}
+
 /// What the role asks of its process.
 #[derive(Debug)]
 pub enum Effect {
@@ -29,7 +72,16 @@
         /// The command.
         command: Command,
     },
-    /// Writes an attempt to the table.
+    /// Reads whether the role is still held; the answer comes back by [`Role::checked`].
+    Check {
+        /// The zone.
+        zone: Zone,
+        /// The epoch of the role.
+        epoch: Epoch,
+        /// When it was asked for.
+        asked: Time,
+    },
+    /// Writes an attempt to the table; the answer comes back by [`Role::recorded`].
     Record {
         /// The zone.
         zone: Zone,
@@ -37,8 +89,10 @@
         epoch: Epoch,
         /// The attempt.
         task: Try,
+        /// The nodes of its parts.
+        nodes: Vec<Node>,
     },
-    /// Writes the end of a job to the table.
+    /// Writes the end of a job to the table, until [`Role::change`] brings it.
     End {
         /// The job.
         job: Job,
@@ -47,14 +101,43 @@
     },
 }
 
+/// An end that is not known to be in the table.
+#[derive(Debug)]
+struct End {
+    outcome: Outcome,
+    due: Time,
+    pause: Duration,
+}
+
+/// A job as the role knows it.
+#[derive(Debug)]
+struct Known {
+    spec: Spec,
+    /// The last attempt that is over.
+    over: Attempt,
+    /// The number that the placement gave to the attempt under way.
+    placed: Attempt,
+    /// When the placement hears that the attempt is over.
+    release: Option<Time>,
+}
+
 /// The planner role of a zone.
 #[derive(Debug)]
 pub struct Role {
     term: Term,
+    taken: Time,
+    ticked: Time,
+    /// When it began to act again after a pause, until the role is checked.
+    woke: Option<Time>,
+    /// The check whose answer is awaited.
+    asked: Option<Time>,
+    last_asked: Option<Time>,
+    settled: bool,
     planner: Planner,
     coordinator: Coordinator,
-    specs: BTreeMap<Job, Spec>,
-    cancelled: Vec<Job>,
+    succession: Succession,
+    jobs: BTreeMap<Job, Known>,
+    ends: BTreeMap<Job, End>,
 }
 
 /// Returns whether a zone's role falls to an entry: the highest hash among the live ones.
@@ -69,16 +152,23 @@
 }
 
 impl Role {
-    /// Creates the role under an epoch.
+    /// Creates the role under an epoch that the table has just taken in.
     #[must_use]
-    pub fn new(zone: Zone, epoch: Epoch) -> Self {
+    pub fn new(now: Time, zone: Zone, epoch: Epoch) -> Self {
         let term = Term { zone, epoch };
         Self {
             coordinator: Coordinator::new(term.clone()),
             term,
+            taken: now,
+            ticked: now,
+            woke: None,
+            asked: None,
+            last_asked: None,
+            settled: false,
             planner: Planner::default(),
-            specs: BTreeMap::new(),
-            cancelled: Vec::new(),
+            succession: Succession::default(),
+            jobs: BTreeMap::new(),
+            ends: BTreeMap::new(),
         }
     }
 
@@ -89,17 +179,27 @@
     }
 
     /// Takes in what an agent of the zone announces.
-    pub fn put_worker(&mut self, node: &Node, said: &Announce) {
-        let open = said.state == State::Serving;
-        self.planner.put_worker(node, &said.place.rack, said.capacity, open);
+    pub fn put_worker(&mut self, now: Time, node: &Node, boot: Boot, said: &Announce) {
+        if self.succession.put(now, node, boot, said) {
+            self.coordinator.put_agent(now, node, boot);
+        }
+        self.place_worker(node, true);
+    }
+
+    /// Takes in that an agent is silent: it gets nothing new.
+    pub fn suspect(&mut self, node: &Node) {
+        self.place_worker(node, false);
     }
 
     /// Takes in a job, if it may run in this zone.
     pub fn submit(&mut self, now: Time, job: Job, spec: &Spec) {
-        if spec.zone.as_ref().is_none_or(|zone| *zone == self.term.zone) {
-            self.specs.insert(job, spec.clone());
-            self.planner.submit(now, job, spec.clone());
+        if spec.zone.as_ref().is_some_and(|zone| *zone != self.term.zone) {
+            return;
         }
+        let none = Attempt(0);
+        let known = Known { spec: spec.clone(), over: none, placed: none, release: None };
+        self.jobs.entry(job).or_insert(known);
+        self.place_job(now, job);
     }
 
     /// Takes in an accepted change.
@@ -109,14 +209,10 @@
                 self.submit(now, *job, spec);
                 Vec::new()
             }
-            Change::Cancel { job } => {
-                let decisions = self.planner.cancel(*job);
-                if decisions.is_empty() {
-                    self.specs.remove(job);
-                } else {
-                    self.cancelled.push(*job);
-                }
-                self.decide(now, decisions)
+            Change::Cancel { job } => self.cancel(now, *job),
+            Change::End { job, .. } => {
+                self.ends.remove(job);
+                self.cancel(now, *job)
             }
             _ => Vec::new(),
         }
@@ -124,31 +220,77 @@
 
     /// Takes in that a worker is lost.
     pub fn lost(&mut self, now: Time, node: &Node) -> Vec<Effect> {
+        self.succession.remove(node);
         let decisions = self.planner.remove_worker(node);
         let mut effects = self.decide(now, decisions);
         let asked = self.coordinator.lost(now, node);
-        effects.extend(self.drive(asked));
+        effects.extend(self.drive(now, asked));
         effects
     }
 
-    /// Takes in what an agent reports of a part.
+    /// Takes in what an agent reports.
     pub fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
-        let asked = self.coordinator.report(now, node, report);
-        self.drive(asked)
+        if report.epoch != self.term.epoch {
+            return Vec::new();
+        }
+        let mut asked = self.coordinator.report(now, node, report);
+        if report.whole && self.succession.heard(node, report.boot).is_some() {
+            self.place_worker(node, true);
+            for holding in &report.holdings {
+                asked.extend(self.find(now, node, holding, report.echo.time()));
+            }
+        }
+        self.drive(now, asked)
     }
 
-    /// Takes in whether an attempt was written to the table.
-    pub fn recorded(&mut self, now: Time, task: Try, written: bool) -> Vec<Effect> {
+    /// Takes in what came of writing an attempt to the table.
+    pub fn recorded(&mut self, now: Time, task: Try, recorded: Recorded) -> Vec<Effect> {
+        let written = recorded == Recorded::Written && !self.doubts(now);
+        if let Recorded::Behind { zone, attempt, nodes } = recorded {
+            if zone == self.term.zone {
+                self.succession.note(task.job, Prior { attempt, nodes });
+            } else {
+                // Another zone has started the job.
+                self.jobs.remove(&task.job);
+            }
+        }
         let asked = self.coordinator.recorded(now, task.job, task.attempt, written);
-        self.drive(asked)
+        self.drive(now, asked)
+    }
+
+    /// Takes in whether the role was found to be held by a check asked for at a time. A role
+    /// that is not held any more is dropped by its owner.
+    pub fn checked(&mut self, asked: Time, held: bool) {
+        if self.asked != Some(asked) {
+            return;
+        }
+        self.asked = None;
+        if held {
+            self.woke = None;
+            self.succession.checked(asked);
+        }
     }
 
     /// Starts what fits, and drives the attempts.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
-        let decisions = self.planner.step(now);
-        let mut effects = self.decide(now, decisions);
+        if self.doubts(now) && self.woke.is_none() {
+            // What was asked before the pause tells nothing about the time after it.
+            (self.woke, self.asked, self.last_asked) = (Some(now), None, None);
+        }
+        self.ticked = now;
+        let mut effects: Vec<Effect> = self.check(now).into_iter().collect();
+        if self.woke.is_some_and(|woke| now.since(woke) < CHECK_WITHIN) {
+            return effects;
+        }
+        if self.woke.is_none() {
+            effects.extend(self.succeed(now));
+            self.release(now);
+            let decisions = self.planner.step(now);
+            effects.extend(self.decide(now, decisions));
+        }
         let asked = self.coordinator.tick(now);
-        effects.extend(self.drive(asked));
+        effects.extend(self.drive(now, asked));
+        effects.extend(self.write_ends(now));
         effects
     }
 
@@ -158,66 +300,235 @@
         self.planner.summary()
     }
 
+    /// Returns the number of attempts that are under way.
+    #[must_use]
+    pub fn attempts(&self) -> usize {
+        self.coordinator.len()
+    }
+
+    /// Returns whether the role may have been taken over unnoticed in a pause.
+    fn doubts(&self, now: Time) -> bool {
+        self.woke.is_some() || now.since(self.ticked) >= PAUSED_AFTER
+    }
+
+    fn check(&mut self, now: Time) -> Option<Effect> {
+        let waits = self.succession.awaits_check() || self.woke.is_some();
+        let pause = if waits { CHECK_SOON } else { CHECK_EVERY };
+        let early = self.last_asked.is_some_and(|last| now.since(last) < pause);
+        if self.asked.is_some() || early {
+            return None;
+        }
+        (self.asked, self.last_asked) = (Some(now), Some(now));
+        let (zone, epoch) = (self.term.zone.clone(), self.term.epoch);
+        Some(Effect::Check { zone, epoch, asked: now })
+    }
+
+    /// Learns what the agents run, and goes on with it or stops it.
+    fn succeed(&mut self, now: Time) -> Vec<Effect> {
+        let mut asked = Vec::new();
+        for node in self.succession.unheard(now) {
+            asked.extend(self.coordinator.survey(now, &node));
+        }
+        let late = now.since(self.taken) >= SETTLE_WITHIN;
+        if !self.settled && (late || self.succession.complete()) {
+            self.settled = true;
+            let jobs: Vec<Job> = self.jobs.keys().copied().collect();
+            for job in jobs {
+                self.place_job(now, job);
+            }
+        }
+        while let Some((job, lot, whole)) = self.take_lot(now) {
+            asked.extend(self.adopt(now, job, lot, whole));
+        }
+        while let Some((job, prior)) = self.succession.take_prior(now, self.taken) {
+            if let Some(known) = self.jobs.get_mut(&job) {
+                known.over = known.over.max(prior.attempt);
+            }
+            self.place_job(now, job);
+        }
+        self.drive(now, asked)
+    }
+
+    fn take_lot(&mut self, now: Time) -> Option<(Job, Lot, bool)> {
+        let (jobs, coordinator) = (&self.jobs, &self.coordinator);
+        let parts = |job| jobs.get(&job).map_or(0, |k: &Known| usize::from(k.spec.shape.parts));
+        self.succession.take_lot(now, |job| !coordinator.has(job), parts)
+    }
+
+    fn adopt(&mut self, now: Time, job: Job, lot: Lot, whole: bool) -> Vec<gang::Effect> {
+        crate::log!(Adopted, "job {job} attempt {}: whole {whole}", lot.attempt);
+        if !whole {
+            self.planner.ended(job);
+        } else if let Some(known) = self.jobs.get_mut(&job) {
+            known.placed = lot.attempt;
+            let mut parts: Vec<_> = lot.parts.iter().collect();
+            parts.sort_unstable_by_key(|part| part.holding.task.part);
+            let seat =
+                |part: &&gang::Found| Seat { node: part.node.clone(), mask: part.holding.mask };
+            let seats = parts.iter().map(seat).collect();
+            self.planner.submit(now, job, known.spec.clone());
+            self.planner.adopt(job, lot.attempt, seats);
+        }
+        self.coordinator.adopt(now, job, lot.attempt, lot.parts, whole)
+    }
+
+    /// Takes in one part that an agent told of.
+    fn find(&mut self, now: Time, node: &Node, part: &Holding, at: Time) -> Vec<gang::Effect> {
+        let task = part.task;
+        if self.coordinator.drives(task.job, task.attempt) {
+            return Vec::new();
+        }
+        let ends = matches!(part.phase, Phase::Finished | Phase::Failed);
+        let runs = matches!(part.phase, Phase::Starting | Phase::Running | Phase::Stopping);
+        let known = self.jobs.get(&task.job).is_some_and(|known| task.attempt > known.over);
+        let mut strays = Vec::new();
+        if known && (ends || runs) {
+            if !self.coordinator.has(task.job) {
+                self.planner.ended(task.job);
+            }
+            strays = self.succession.find(now, node, part.clone(), at);
+        } else if !ends {
+            strays.push(gang::Found { node: node.clone(), holding: part.clone(), at });
+        }
+        let stop =
+            |found: gang::Found| self.coordinator.stray(now, &found.node, found.holding.task);
+        strays.into_iter().flat_map(stop).collect()
+    }
+
+    fn place_worker(&mut self, node: &Node, alive: bool) {
+        if let Some(agent) = self.succession.agent(node) {
+            let open = agent.open && alive;
+            self.planner.put_worker(node, &agent.rack, agent.capacity, open);
+        }
+    }
+
+    /// Lets a job be placed, unless an earlier attempt may still run.
+    fn place_job(&mut self, now: Time, job: Job) {
+        if !self.settled || self.succession.holds_up(job) || self.coordinator.has(job) {
+            return;
+        }
+        if let Some(known) = self.jobs.get(&job) {
+            self.planner.submit(now, job, known.spec.clone());
+        }
+    }
+
+    fn cancel(&mut self, now: Time, job: Job) -> Vec<Effect> {
+        self.jobs.remove(&job);
+        let mut asked = Vec::new();
+        if let Some(lot) = self.succession.drop_job(job) {
+            asked = self.coordinator.adopt(now, job, lot.attempt, lot.parts, false);
+        }
+        let decisions = self.planner.cancel(job);
+        let mut effects = self.drive(now, asked);
+        effects.extend(self.decide(now, decisions));
+        if !self.coordinator.has(job) {
+            self.planner.ended(job);
+        }
+        effects
+    }
+
     fn decide(&mut self, now: Time, decisions: Vec<place::Effect>) -> Vec<Effect> {
         let mut asked = Vec::new();
         for decision in decisions {
             match decision {
                 place::Effect::Start { job, attempt, seats, reason } => {
                     let nodes: Vec<&str> = seats.iter().map(|seat| seat.node.as_str()).collect();
-                    crate::log!(Placed, "job {job} attempt {attempt} on {nodes:?}: {reason:?}");
-                    let Some(spec) = self.specs.get(&job) else {
+                    let Some(known) = self.jobs.get_mut(&job) else {
                         continue;
                     };
-                    asked.extend(self.coordinator.begin(now, job, attempt, spec.clone(), seats));
+                    known.placed = attempt;
+                    let attempt = Attempt(known.over.0 + 1);
+                    crate::log!(Placed, "job {job} attempt {attempt} on {nodes:?}: {reason:?}");
+                    let spec = known.spec.clone();
+                    asked.extend(self.coordinator.begin(now, job, attempt, spec, seats));
                 }
-                place::Effect::Stop { job, attempt, cause } => {
-                    crate::log!(AttemptStopped, "job {job} attempt {attempt}: {cause:?}");
-                    asked.extend(self.coordinator.stop(now, job, attempt));
+                place::Effect::Stop { job, cause, .. } => {
+                    crate::log!(AttemptStopped, "job {job}: {cause:?}");
+                    asked.extend(self.coordinator.stop(now, job));
                 }
             }
         }
-        self.drive(asked)
+        self.drive(now, asked)
     }
 
-    fn drive(&mut self, asked: Vec<gang::Effect>) -> Vec<Effect> {
+    fn drive(&mut self, now: Time, asked: Vec<gang::Effect>) -> Vec<Effect> {
         let mut effects = Vec::new();
         for effect in asked {
             match effect {
                 gang::Effect::Send { node, command } => {
                     effects.push(Effect::Send { node, command });
                 }
-                gang::Effect::Record { job, attempt } => effects.push(Effect::Record {
+                gang::Effect::Record { job, attempt, nodes } => effects.push(Effect::Record {
                     zone: self.term.zone.clone(),
                     epoch: self.term.epoch,
                     task: Try { job, attempt },
+                    nodes,
                 }),
                 gang::Effect::Over { job, attempt, ending } => {
                     crate::log!(AttemptOver, "job {job} attempt {attempt}: {ending:?}");
-                    effects.extend(self.over(job, attempt, &ending));
+                    self.over(now, job, attempt, &ending);
                 }
             }
         }
         effects
     }
 
-    fn over(&mut self, job: Job, attempt: Attempt, ending: &Ending) -> Option<Effect> {
-        let outcome = match ending {
-            Ending::Finished => Outcome::Finished,
-            Ending::Failed(_) => Outcome::Failed,
-            Ending::Stopped => {
-                if let Some(index) = self.cancelled.iter().position(|&other| other == job) {
-                    self.cancelled.swap_remove(index);
-                    self.planner.ended(job);
-                    self.specs.remove(&job);
-                } else {
-                    self.planner.released(job, attempt);
-                }
-                return None;
-            }
+    fn over(&mut self, now: Time, job: Job, attempt: Attempt, ending: &Ending) {
+        let Some(known) = self.jobs.get_mut(&job) else {
+            self.planner.ended(job);
+            return;
         };
-        self.planner.ended(job);
-        self.specs.remove(&job);
+        known.over = known.over.max(attempt);
+        match ending {
+            Ending::Finished => self.end(now, job, Outcome::Finished),
+            Ending::Failed(_) => self.end(now, job, Outcome::Failed),
+            Ending::Refused(_) | Ending::Unwritten => known.release = Some(now + PLACE_AGAIN),
+            Ending::Stopped => self.give_back(now, job),
+        }
+    }
+
+    /// Lets a job be placed again whose attempt is over.
+    fn give_back(&mut self, now: Time, job: Job) {
+        let Some(known) = self.jobs.get(&job) else {
+            return;
+        };
+        if self.succession.holds_up(job) {
+            self.planner.ended(job);
+            return;
+        }
+        self.planner.released(job, known.placed);
+        self.place_job(now, job);
+    }
+
+    fn release(&mut self, now: Time) {
+        let mut due = Vec::new();
+        for (&job, known) in &mut self.jobs {
+            if known.release.is_some_and(|time| time <= now) {
+                known.release = None;
+                due.push(job);
+            }
+        }
+        for job in due {
+            self.give_back(now, job);
+        }
+    }
+
+    fn end(&mut self, now: Time, job: Job, outcome: Outcome) {
         crate::log!(JobEnded, "job {job}: {outcome:?}");
-        Some(Effect::End { job, outcome })
+        self.planner.ended(job);
+        self.jobs.remove(&job);
+        self.ends.insert(job, End { outcome, due: now, pause: END_AGAIN });
+    }
+
+    fn write_ends(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (&job, end) in &mut self.ends {
+            if end.due <= now {
+                end.due = now + end.pause;
+                end.pause = END_AGAIN_MOST.min(end.pause * 2);
+                effects.push(Effect::End { job, outcome: end.outcome });
+            }
+        }
+        effects
     }
 }
--- a/persimmondrift/src/entry/table.rs
+++ b/persimmondrift/src/entry/table.rs
@@ -4,14 +4,12 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use super::Shared;
 use super::role::Try;
+use super::{Shared, lease};
 use crate::config::{Change, Record};
 use crate::place::Outcome;
-use crate::store::{self, Error, Row, Write};
-use crate::unit::{Attempt, Epoch, Job, Mutation, Node, Operator, Plan, Version, Zone};
+use crate::store::{self, Error, Write};
+use crate::unit::{Epoch, Job, Mutation, Node, Operator, Plan, Time, Version, Zone};
 
 /// Pause between two reads of new records.
 const POLL: Duration = Duration::from_millis(250);
@@ -38,6 +36,17 @@
         epoch: Epoch,
         /// The attempt.
         task: Try,
+        /// The nodes of its parts.
+        nodes: Vec<Node>,
+    },
+    /// Reads whether the planner role of a zone is still held under an epoch.
+    CheckRole {
+        /// The zone.
+        zone: Zone,
+        /// The epoch.
+        epoch: Epoch,
+        /// When it was asked for.
+        asked: Time,
     },
     /// Writes how a job ended.
     End {
@@ -48,20 +57,6 @@
     },
 }
 
-/// The row of a zone's planner role.
-#[derive(Debug, Serialize, Deserialize)]
-struct Lease {
-    holder: Node,
-    epoch: Epoch,
-}
-
-/// The row of a job's attempts.
-#[derive(Debug, Serialize, Deserialize)]
-struct Tried {
-    attempt: Attempt,
-    epoch: Epoch,
-}
-
 /// Carries out the orders and reads new records until the process stops.
 pub fn run(shared: &Arc<Shared>, orders: &Receiver<Order>) {
     let mut polled = Instant::now();
@@ -93,24 +88,13 @@
 
 fn carry_out(shared: &Shared, order: Order) -> Result<(), Error> {
     match order {
-        Order::TakeRole { zone } => take_role(shared, &zone),
-        Order::Record { zone, epoch, task } => {
-            let written = record(shared, epoch, task);
-            let now = shared.now();
-            let ok = matches!(written, Ok(true));
-            let effects = shared.core().recorded(now, &zone, task, ok);
-            shared.perform(effects);
-            written.map(|_| ())
-        }
-        Order::End { job, outcome } => {
-            let change = Change::End { job, outcome };
-            let result = end(shared, &change);
-            if result.is_err() {
-                // The end must not be lost: it is tried again until the table takes it.
-                let _ = shared.work.send(Order::End { job, outcome });
-            }
-            result
+        Order::TakeRole { zone } => lease::take_role(shared, &zone),
+        Order::CheckRole { zone, epoch, asked } => lease::check_role(shared, &zone, epoch, asked),
+        Order::Record { zone, epoch, task, nodes } => {
+            lease::record(shared, &zone, epoch, task, nodes)
         }
+        // The role asks again until the end stands in the table.
+        Order::End { job, outcome } => end(shared, job, outcome),
     }
 }
 
@@ -151,15 +135,18 @@
     format!("{RECORD_PREFIX}{:020}", version.0)
 }
 
-fn end(shared: &Shared, change: &Change) -> Result<(), Error> {
+fn end(shared: &Shared, job: Job, outcome: Outcome) -> Result<(), Error> {
     for _ in 0..TRIES {
         refresh(shared)?;
+        if !shared.core().config.jobs.contains_key(&job) {
+            return Ok(());
+        }
         let record = Record {
             version: shared.core().config.version.next(),
             plan: Plan(0),
             operator: Operator::try_from(SYSTEM).map_err(|_| Error::Malformed)?,
             mutation: mutation(shared),
-            changes: vec![change.clone()],
+            changes: vec![Change::End { job, outcome }],
         };
         if append(shared, &record)? == store::Outcome::Applied {
             return refresh(shared);
@@ -167,46 +154,3 @@
     }
     Err(Error::NoAnswer)
 }
-
-fn take_role(shared: &Shared, zone: &Zone) -> Result<(), Error> {
-    let key = format!("lease/{zone}");
-    let row = (shared.table.read)(&key)?;
-    let (expected, epoch) = match &row {
-        Some(row) => (row.version, lease_of(row)?.epoch.next()),
-        None => (Version(0), Epoch(1)),
-    };
-    let lease = Lease { holder: shared.settings.node.clone(), epoch };
-    let value = serde_json::to_value(lease).map_err(|_| Error::Malformed)?;
-    let write = Write { key, expected, mutation: mutation(shared), value };
-    refresh(shared)?;
-    if store::commit(&shared.table, &[write])? == store::Outcome::Applied {
-        let now = shared.now();
-        let effects = shared.core().role_taken(now, zone, epoch);
-        shared.perform(effects);
-    }
-    Ok(())
-}
-
-fn lease_of(row: &Row) -> Result<Lease, Error> {
-    serde_json::from_value(row.value.clone()).map_err(|_| Error::Malformed)
-}
-
-/// Writes an attempt; refused if the same or a later attempt stands there already.
-fn record(shared: &Shared, epoch: Epoch, task: Try) -> Result<bool, Error> {
-    let key = format!("attempt/{:020}", task.job.0);
-    let row = (shared.table.read)(&key)?;
-    let (expected, last) = match row {
-        None => (Version(0), Attempt(0)),
-        Some(row) => {
-            let tried: Tried = serde_json::from_value(row.value).map_err(|_| Error::Malformed)?;
-            (row.version, tried.attempt)
-        }
-    };
-    if last >= task.attempt {
-        return Ok(false);
-    }
-    let tried = Tried { attempt: task.attempt, epoch };
-    let value = serde_json::to_value(tried).map_err(|_| Error::Malformed)?;
-    let write = Write { key, expected, mutation: mutation(shared), value };
-    Ok(store::commit(&shared.table, &[write])? == store::Outcome::Applied)
-}
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -50,6 +50,10 @@
     AttemptOver = 403,
     /// A job has ended.
     JobEnded = 404,
+    /// A part of a job has ended at its worker.
+    PartEnded = 405,
+    /// An attempt of an earlier planner was found.
+    Adopted = 406,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
--- a/persimmondrift/src/gang.rs
+++ b/persimmondrift/src/gang.rs
@@ -3,26 +3,45 @@
 //! The planner prepares all parts, makes the attempt durable, then says go and renews.
 //! The agent beside each worker holds the accelerators, starts on go, and stops the part
 //! by itself when no renewal comes.
+//!
+//! Messages carry two clock readings: the sender's own, and the last one heard from the
+//! peer. A lease counts on the agent's clock from a reading that the planner had heard before
+//! it granted the lease, and a part counts as running at the time on the planner's clock at
+//! which the command was sent that the agent has answered. So a message that is late,
+//! doubled or reordered cannot stretch a lease.
 
 mod coordinator;
 mod holder;
+mod peer;
+mod tombstone;
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::place;
-use crate::unit::{Attempt, Epoch, Job, Millis, Part, Zone};
+use crate::unit::{Attempt, Boot, Epoch, Job, Millis, Part, Time, Zone};
 
-pub use coordinator::{Coordinator, Effect, Ending};
-pub use holder::{Action, Holder, Refused};
+pub use coordinator::{Coordinator, Effect, Ending, Found};
+pub use holder::{Action, Holder, Refused, Started};
 
-/// Time for which an agent holds accelerators without a go.
+/// Time for which an agent holds accelerators without a go or a further prepare.
 pub const HOLD: Millis = Millis(3_000);
-/// Time for which a part runs without a renewal.
-pub const LEASE: Millis = Millis(6_000);
-/// Pause between two renewals, and between two sends of an unanswered command.
-pub const RENEW_EVERY: Millis = Millis(1_000);
-/// Pause before an unanswered prepare, go or stop is sent again.
-pub const RESEND_AFTER: Millis = Millis(150);
+/// Time for which a part runs after all parts of its attempt were last known to run.
+pub const LEASE: Millis = Millis(10_000);
+/// Time after the end of a lease by which the worker has surely stopped the part.
+pub const SLACK: Duration = Duration::from_secs(2);
+/// Pause between two renewals to one agent.
+pub const RENEW_EVERY: Duration = Duration::from_secs(1);
+/// Pause before an unanswered command is sent again. For a stop it doubles up to
+/// [`RENEW_EVERY`].
+pub const RESEND_AFTER: Duration = Duration::from_millis(150);
+/// Time given to all agents to hold the parts of an attempt.
+pub const PREPARE_WITHIN: Duration = Duration::from_secs(3);
+/// Time given to the table service to take in an attempt.
+pub const RECORD_WITHIN: Duration = Duration::from_secs(15);
+/// Time given to all parts of an attempt to start.
+pub const START_WITHIN: Duration = Duration::from_secs(5);
 
 /// Names one part of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -44,11 +63,45 @@
     pub epoch: Epoch,
 }
 
-/// What a planner tells an agent.
+/// A reading of a process's clock, which only that process can interpret.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Stamp(pub u64);
+
+impl From<Time> for Stamp {
+    fn from(time: Time) -> Self {
+        Self(time.0)
+    }
+}
+
+impl Stamp {
+    /// Returns the reading as a time of the process that made it.
+    #[must_use]
+    pub fn time(self) -> Time {
+        Time(self.0)
+    }
+}
+
+/// What a planner tells an agent. Without directions it asks for all parts of the agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
     /// The role it is given under.
     pub term: Term,
+    /// The start of the agent that it is meant for.
+    pub boot: Boot,
+    /// The planner's clock.
+    pub sent: Stamp,
+    /// The agent's clock as last heard.
+    pub echo: Stamp,
+    /// What to do, part by part.
+    pub directions: Vec<Direction>,
+}
+
+/// What an agent is to do with one part.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Direction {
     /// The part it is about.
     pub task: Task,
     /// What to do.
@@ -67,29 +120,35 @@
         /// What the job needs, for the worker.
         spec: place::Spec,
     },
-    /// Start the part, held before, under a lease.
+    /// Start the part, held before, under a lease. The end of the hold is the latest start.
     Go {
-        /// The time until the part stops without a renewal.
+        /// The time, from the echoed clock, until the part stops without a renewal.
         lease: Millis,
     },
     /// Keep the part running.
     Renew {
-        /// The time until the part stops without a further renewal.
+        /// The time, from the echoed clock, until the part stops without a further renewal.
         lease: Millis,
     },
     /// Stop the part and free its accelerators.
     Stop,
 }
 
-/// What an agent tells the planner about a part.
+/// What an agent tells the planner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// The part.
-    pub task: Task,
+    /// The start of the agent that sent it.
+    pub boot: Boot,
     /// The highest epoch that the agent has seen for its zone.
     pub epoch: Epoch,
-    /// The state of the part.
-    pub phase: Phase,
+    /// The agent's clock.
+    pub sent: Stamp,
+    /// The planner's clock as last heard under that epoch.
+    pub echo: Stamp,
+    /// Whether all parts of the agent are listed.
+    pub whole: bool,
+    /// The parts.
+    pub holdings: Vec<Holding>,
 }
 
 /// The state of a part at its agent.
@@ -97,8 +156,12 @@
 pub enum Phase {
     /// The accelerators are held.
     Held,
+    /// The worker is asked to start the part and has not confirmed it.
+    Starting,
     /// The part runs.
     Running,
+    /// The worker is asked to stop the part and has not confirmed it.
+    Stopping,
     /// The part ended by itself, well.
     Finished,
     /// The part ended by itself, badly.
@@ -109,12 +172,20 @@
     Refused(Refused),
 }
 
-/// A part that a worker holds or runs, as announced.
+impl Phase {
+    /// Returns whether the part does not run and will not run again in this attempt.
+    #[must_use]
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::Finished | Self::Failed | Self::Gone)
+    }
+}
+
+/// A part at its agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// The part.
     pub task: Task,
-    /// The accelerators, one bit each.
+    /// The accelerators, one bit each; none if they are free.
     pub mask: u64,
     /// The state of the part.
     pub phase: Phase,
--- a/persimmondrift/src/gang/coordinator.rs
+++ b/persimmondrift/src/gang/coordinator.rs
@@ -1,11 +1,14 @@
 //! The planner's side: drives the attempts of a zone from prepare to their end.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+mod attempt;
 
-use super::{Command, HOLD, LEASE, Order, Phase, RENEW_EVERY, RESEND_AFTER, Report, Task, Term};
+use std::collections::{BTreeMap, BTreeSet};
+
+use self::attempt::{Gang, Member, Stage};
+use super::peer::{Outbox, Peers};
+use super::{Command, Holding, LEASE, Order, Phase, Report, Task, Term};
 use crate::place;
-use crate::unit::{Attempt, Job, Node, Part, Time};
+use crate::unit::{Attempt, Boot, Job, Node, Part, Time};
 
 /// What the planner's process does for an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +26,8 @@
         job: Job,
         /// The attempt.
         attempt: Attempt,
+        /// The nodes of its parts.
+        nodes: Vec<Node>,
     },
     /// The attempt is over on all its workers.
     Over {
@@ -42,48 +47,59 @@
     Finished,
     /// A part failed at a node.
     Failed(Node),
+    /// A node did not take a part.
+    Refused(Node),
+    /// It could not be written to the table.
+    Unwritten,
     /// It never ran, or was stopped.
     Stopped,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Preparing,
-    Recording,
-    Running,
-    Stopping,
-}
-
-#[derive(Debug)]
-struct Member {
-    node: Node,
-    mask: u64,
-    phase: Option<Phase>,
-    sent: Time,
-}
-
-#[derive(Debug)]
-struct Gang {
-    attempt: Attempt,
-    spec: place::Spec,
-    stage: Stage,
-    members: Vec<Member>,
-    ending: Ending,
-    began: Time,
+/// A part that an earlier planner has started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Found {
+    /// The node of its worker.
+    pub node: Node,
+    /// The part, as the agent reported it.
+    pub holding: Holding,
+    /// When, at the earliest, it was in that state.
+    pub at: Time,
 }
 
 /// The attempts of one zone.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Coordinator {
     term: Term,
     gangs: BTreeMap<Job, Gang>,
+    peers: Peers,
+    /// Jobs whose attempt does not just run.
+    unsettled: BTreeSet<Job>,
 }
 
 impl Coordinator {
     /// Creates a coordinator for a planner's term.
     #[must_use]
     pub fn new(term: Term) -> Self {
-        Self { term, gangs: BTreeMap::new() }
+        let (gangs, peers, unsettled) = (BTreeMap::new(), Peers::default(), BTreeSet::new());
+        Self { term, gangs, peers, unsettled }
+    }
+
+    /// Takes in a start of an agent.
+    pub fn put_agent(&mut self, now: Time, node: &Node, boot: Boot) {
+        if !self.peers.put(now, node, boot) {
+            return;
+        }
+        for gang in self.gangs.values_mut() {
+            for member in gang.members.iter_mut().filter(|member| member.node == *node) {
+                member.reborn = true;
+            }
+        }
+    }
+
+    /// Asks an agent for all its parts, and so makes this planner's epoch known to it.
+    #[must_use]
+    pub fn survey(&self, now: Time, node: &Node) -> Vec<Effect> {
+        self.peers.survey(now, &self.term, node).into_iter().collect()
     }
 
     /// Begins an attempt: all its parts are prepared.
@@ -95,42 +111,68 @@
         spec: place::Spec,
         seats: Vec<place::Seat>,
     ) -> Vec<Effect> {
-        let member =
-            |seat: place::Seat| Member { node: seat.node, mask: seat.mask, phase: None, sent: now };
-        let members = seats.into_iter().map(member).collect();
-        let gang = Gang {
-            attempt,
-            spec,
-            stage: Stage::Preparing,
-            members,
-            ending: Ending::Stopped,
-            began: now,
-        };
-        let effects = gang.commands(&self.term, job, |_| true);
+        let gang = Gang::prepare(now, attempt, spec, seats);
         self.gangs.insert(job, gang);
-        effects
+        self.unsettled.insert(job);
+        self.step(now, [job])
+    }
+
+    /// Takes over an attempt, whose parts were found at their agents. It goes on if `whole`,
+    /// and is stopped otherwise.
+    pub fn adopt(
+        &mut self,
+        now: Time,
+        job: Job,
+        attempt: Attempt,
+        found: Vec<Found>,
+        whole: bool,
+    ) -> Vec<Effect> {
+        for part in &found {
+            let task = part.holding.task;
+            self.peers.note(&part.node, task, part.holding.phase == Phase::Running);
+        }
+        let gang = Gang::adopt(now, attempt, found, whole);
+        self.gangs.insert(job, gang);
+        self.unsettled.insert(job);
+        self.step(now, [job])
+    }
+
+    /// Tells an agent to stop a part of no attempt that is driven here.
+    #[must_use]
+    pub fn stray(&self, now: Time, node: &Node, task: Task) -> Vec<Effect> {
+        let mut outbox = Outbox::default();
+        outbox.push(node, task, Order::Stop);
+        self.peers.flush(now, &self.term, outbox)
+    }
+
+    /// Returns whether any attempt of a job is driven here.
+    #[must_use]
+    pub fn has(&self, job: Job) -> bool {
+        self.gangs.contains_key(&job)
+    }
+
+    /// Returns whether an attempt is driven here.
+    #[must_use]
+    pub fn drives(&self, job: Job, attempt: Attempt) -> bool {
+        self.gangs.get(&job).is_some_and(|gang| gang.attempt == attempt)
     }
 
-    /// Takes in what an agent reports of a part.
+    /// Takes in what an agent reports.
     pub fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
-        let task = report.task;
-        let Some(gang) = self.gangs.get_mut(&task.job) else {
-            return Vec::new();
-        };
-        if gang.attempt != task.attempt {
+        if report.epoch != self.term.epoch || !self.peers.hear(now, node, report) {
             return Vec::new();
         }
-        let Some(member) = gang.members.get_mut(usize::from(task.part.0)) else {
-            return Vec::new();
-        };
-        if member.node != *node || member.is_over() {
-            return Vec::new();
+        let mut jobs = BTreeSet::new();
+        for holding in &report.holdings {
+            if self.observe(node, report.echo.time(), holding) {
+                jobs.insert(holding.task.job);
+            }
         }
-        member.phase = Some(report.phase);
-        if report.phase == Phase::Failed {
-            gang.ending = Ending::Failed(node.clone());
+        if report.whole {
+            jobs.extend(self.forget(node, &report.holdings));
         }
-        self.advance(now, task.job)
+        self.unsettled.extend(&jobs);
+        self.step(now, jobs)
     }
 
     /// Takes in whether the attempt was written to the table.
@@ -147,56 +189,51 @@
         if gang.attempt != attempt || gang.stage != Stage::Recording {
             return Vec::new();
         }
-        gang.stage = if written { Stage::Running } else { Stage::Stopping };
-        for member in &mut gang.members {
-            member.sent = now;
+        if !written {
+            gang.ending = Ending::Unwritten;
         }
-        gang.commands(&self.term, job, |_| true)
+        gang.enter(now, if written { Stage::Running } else { Stage::Stopping });
+        self.step(now, [job])
     }
 
-    /// Stops an attempt.
-    pub fn stop(&mut self, now: Time, job: Job, attempt: Attempt) -> Vec<Effect> {
+    /// Stops the attempt of a job.
+    pub fn stop(&mut self, now: Time, job: Job) -> Vec<Effect> {
         match self.gangs.get_mut(&job) {
-            Some(gang) if gang.attempt == attempt && gang.stage != Stage::Stopping => {
-                gang.stage = Stage::Stopping;
+            Some(gang) if gang.stage != Stage::Stopping => {
+                gang.enter(now, Stage::Stopping);
             }
             _ => return Vec::new(),
         }
-        self.advance(now, job)
+        self.unsettled.insert(job);
+        self.step(now, [job])
     }
 
-    /// Takes in that a worker is lost: its parts are over once their lease has lapsed.
+    /// Takes in that a worker is given up: attempts with a part there stop. They are over
+    /// when that part has surely stopped, which may be at the end of its lease.
     pub fn lost(&mut self, now: Time, node: &Node) -> Vec<Effect> {
         let mut jobs = Vec::new();
         for (&job, gang) in &mut self.gangs {
-            for member in gang.members.iter_mut().filter(|member| member.node == *node) {
-                if !member.is_over() {
-                    member.phase = Some(Phase::Gone);
-                    jobs.push(job);
-                }
+            let hit = gang.members.iter().any(|m| m.node == *node && !m.is_over());
+            if hit && gang.stage != Stage::Stopping {
+                gang.enter(now, Stage::Stopping);
+                jobs.push(job);
             }
         }
-        jobs.into_iter().flat_map(|job| self.advance(now, job)).collect()
+        self.unsettled.extend(&jobs);
+        self.step(now, jobs)
     }
 
     /// Sends again what was not answered, and renews what runs.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for (&job, gang) in &mut self.gangs {
-            if gang.stage == Stage::Preparing && now.since(gang.began) >= Duration::from(HOLD) {
-                gang.stage = Stage::Stopping;
-            }
-            let settled = gang.members.iter().all(|member| member.phase == Some(Phase::Running));
-            let pause = if settled { RENEW_EVERY } else { RESEND_AFTER };
-            let mut due = Vec::new();
-            for member in &mut gang.members {
-                due.push(now.since(member.sent) >= Duration::from(pause));
-                if due[due.len() - 1] {
-                    member.sent = now;
-                }
+        let mut outbox = Outbox::default();
+        for (node, tasks) in self.peers.due(now) {
+            for task in tasks {
+                self.renew(now, &node, task, &mut outbox);
             }
-            effects.extend(gang.commands(&self.term, job, |index| due[index]));
         }
+        let mut effects = self.peers.flush(now, &self.term, outbox);
+        let jobs: Vec<Job> = self.unsettled.iter().copied().collect();
+        effects.extend(self.step(now, jobs));
         effects
     }
 
@@ -212,85 +249,159 @@
         self.gangs.is_empty()
     }
 
-    fn advance(&mut self, now: Time, job: Job) -> Vec<Effect> {
-        let Some(gang) = self.gangs.get_mut(&job) else {
-            return Vec::new();
+    /// Returns the end of the lease that all parts of an attempt share.
+    #[must_use]
+    pub fn lease_end(&self, job: Job) -> Option<Time> {
+        self.gangs.get(&job).map(|gang| gang.floor() + LEASE)
+    }
+
+    /// Takes in the state of a part; returns whether it is new.
+    fn observe(&mut self, node: &Node, at: Time, holding: &Holding) -> bool {
+        let task = holding.task;
+        let Some(gang) = self.gangs.get_mut(&task.job) else {
+            return false;
         };
-        let attempt = gang.attempt;
-        let all = |phase: Phase| gang.members.iter().all(|m| m.phase == Some(phase));
-        if gang.stage != Stage::Stopping && gang.members.iter().any(Member::is_lost) {
-            gang.stage = Stage::Stopping;
-            for member in &mut gang.members {
-                member.sent = now;
-            }
-            let effects = gang.commands(&self.term, job, |_| true);
-            return effects.into_iter().chain(self.finish(job)).collect();
+        if gang.attempt != task.attempt {
+            return false;
         }
-        if gang.stage == Stage::Preparing && all(Phase::Held) {
-            gang.stage = Stage::Recording;
-            return vec![Effect::Record { job, attempt }];
+        let Some(member) = gang.member(task.part) else {
+            return false;
+        };
+        if member.node != *node || member.is_over() {
+            return false;
         }
-        if gang.stage == Stage::Running && all(Phase::Finished) {
-            gang.ending = Ending::Finished;
+        member.reborn = false;
+        if holding.phase == Phase::Running {
+            member.confirmed = member.confirmed.max(at);
         }
-        if gang.members.iter().all(Member::is_over) {
-            return self.finish(job);
+        if member.phase == Some(holding.phase) {
+            return false;
         }
-        if gang.stage == Stage::Stopping {
-            return gang.commands(&self.term, job, |_| true);
+        member.set_phase(holding.phase);
+        let failed = match holding.phase {
+            Phase::Failed => Some(Ending::Failed(node.clone())),
+            Phase::Refused(_) => Some(Ending::Refused(node.clone())),
+            _ => None,
+        };
+        if let Some(ending) = failed
+            && gang.ending == Ending::Stopped
+        {
+            gang.ending = ending;
         }
-        Vec::new()
+        self.peers.note(node, task, holding.phase == Phase::Running);
+        true
     }
 
-    fn finish(&mut self, job: Job) -> Vec<Effect> {
-        let over = self.gangs.get(&job).is_some_and(|g| g.members.iter().all(Member::is_over));
-        if !over {
-            return Vec::new();
+    /// Takes in that the parts that an earlier start of an agent held are not listed.
+    fn forget(&mut self, node: &Node, listed: &[Holding]) -> Vec<Job> {
+        let mut jobs = Vec::new();
+        for (&job, gang) in &mut self.gangs {
+            let attempt = gang.attempt;
+            let gone = |member: &&mut Member| {
+                let task = Task { job, attempt, part: member.part };
+                member.reborn && member.node == *node && listed.iter().all(|h| h.task != task)
+            };
+            for member in gang.members.iter_mut().filter(|member| gone(member)) {
+                if !member.is_over() {
+                    member.set_phase(Phase::Gone);
+                    jobs.push(job);
+                }
+            }
         }
-        let Some(gang) = self.gangs.remove(&job) else {
-            return Vec::new();
+        jobs
+    }
+
+    fn renew(&mut self, now: Time, node: &Node, task: Task, outbox: &mut Outbox) {
+        let Some(gang) = self.gangs.get_mut(&task.job) else {
+            self.peers.note(node, task, false);
+            return;
         };
-        vec![Effect::Over { job, attempt: gang.attempt, ending: gang.ending }]
+        if gang.attempt != task.attempt || gang.stage != Stage::Running {
+            self.peers.note(node, task, false);
+            return;
+        }
+        let end = gang.floor_at(now) + LEASE;
+        if end <= now {
+            gang.enter(now, Stage::Stopping);
+            self.unsettled.insert(task.job);
+            return;
+        }
+        if let Some(member) = gang.member(task.part) {
+            member.until = member.until.max(end);
+        }
+        let lease = self.peers.lease(node, end);
+        outbox.push(node, task, Order::Renew { lease });
     }
-}
 
-impl Member {
-    fn is_over(&self) -> bool {
-        matches!(self.phase, Some(Phase::Finished | Phase::Failed | Phase::Gone))
+    /// Moves the attempts of some jobs on, and sends what is due for them.
+    fn step(&mut self, now: Time, jobs: impl IntoIterator<Item = Job>) -> Vec<Effect> {
+        let mut outbox = Outbox::default();
+        let mut effects = Vec::new();
+        for job in jobs {
+            self.advance(now, job, &mut outbox, &mut effects);
+        }
+        effects.extend(self.peers.flush(now, &self.term, outbox));
+        effects
     }
 
-    fn is_lost(&self) -> bool {
-        matches!(self.phase, Some(Phase::Failed | Phase::Gone | Phase::Refused(_)))
+    fn advance(&mut self, now: Time, job: Job, outbox: &mut Outbox, effects: &mut Vec<Effect>) {
+        let Some(gang) = self.gangs.get_mut(&job) else {
+            self.unsettled.remove(&job);
+            return;
+        };
+        gang.expire(now);
+        if gang.stage == Stage::Preparing && gang.all(|phase| phase == Phase::Held) {
+            gang.enter(now, Stage::Recording);
+            let nodes = gang.members.iter().map(|member| member.node.clone()).collect();
+            effects.push(Effect::Record { job, attempt: gang.attempt, nodes });
+        }
+        if gang.stage == Stage::Running && gang.all(|phase| phase == Phase::Finished) {
+            gang.ending = Ending::Finished;
+        }
+        if gang.members.iter().all(Member::is_over) {
+            self.finish(job, effects);
+            return;
+        }
+        let runs = |phase| matches!(phase, Phase::Running | Phase::Finished);
+        if gang.stage == Stage::Running && gang.all(runs) {
+            self.unsettled.remove(&job);
+            return;
+        }
+        self.send_due(now, job, outbox);
     }
-}
 
-impl Gang {
-    fn commands(&self, term: &Term, job: Job, due: impl Fn(usize) -> bool) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for (index, member) in self.members.iter().enumerate() {
-            if !due(index) || member.is_over() {
-                continue;
-            }
-            let Some(order) = self.order(member) else {
+    fn send_due(&mut self, now: Time, job: Job, outbox: &mut Outbox) {
+        let Some(gang) = self.gangs.get_mut(&job) else {
+            return;
+        };
+        let (stage, attempt) = (gang.stage, gang.attempt);
+        let end = gang.floor_at(now) + LEASE;
+        let spec = gang.spec.clone();
+        for member in gang.members.iter_mut().filter(|member| member.is_due(now, stage)) {
+            let lease = self.peers.lease(&member.node, end);
+            let Some(order) = member.order(stage, lease, spec.as_ref()) else {
                 continue;
             };
-            let part = Part(u16::try_from(index).unwrap_or(u16::MAX));
-            let task = Task { job, attempt: self.attempt, part };
-            let command = Command { term: term.clone(), task, order };
-            effects.push(Effect::Send { node: member.node.clone(), command });
+            member.sending(now, &order, end);
+            let task = Task { job, attempt, part: member.part };
+            outbox.push(&member.node, task, order);
         }
-        effects
     }
 
-    fn order(&self, member: &Member) -> Option<Order> {
-        match (self.stage, member.phase) {
-            (Stage::Preparing, None) => {
-                Some(Order::Prepare { mask: member.mask, hold: HOLD, spec: self.spec.clone() })
-            }
-            (Stage::Running, Some(Phase::Held)) => Some(Order::Go { lease: LEASE }),
-            (Stage::Running, Some(Phase::Running)) => Some(Order::Renew { lease: LEASE }),
-            (Stage::Stopping, _) => Some(Order::Stop),
-            _ => None,
+    fn finish(&mut self, job: Job, effects: &mut Vec<Effect>) {
+        self.unsettled.remove(&job);
+        let Some(gang) = self.gangs.remove(&job) else {
+            return;
+        };
+        for member in &gang.members {
+            let task = Task { job, attempt: gang.attempt, part: member.part };
+            self.peers.note(&member.node, task, false);
         }
+        effects.push(Effect::Over { job, attempt: gang.attempt, ending: gang.ending });
     }
 }
+
+/// Returns the number of a part at an index.
+fn part_at(index: usize) -> Part {
+    Part(u16::try_from(index).unwrap_or(u16::MAX))
+}
--- /dev/null
+++ b/persimmondrift/src/gang/peer.rs
@@ -0,0 +1,135 @@
+//! The agents that a planner talks to: their clocks, and the commands on their way.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Command, Direction, Effect, Order, RENEW_EVERY, Report, Stamp, Task, Term};
+use crate::unit::{Boot, Millis, Node, Time};
+
+/// Most directions of one command, so that it fits into a datagram.
+const DIRECTIONS: usize = 256;
+
+/// An agent as its planner knows it.
+#[derive(Debug, Clone)]
+struct Peer {
+    /// The start of its process.
+    boot: Boot,
+    /// Its clock as last heard.
+    stamp: Stamp,
+    /// When that was heard.
+    arrived: Time,
+    /// The parts that run there, as far as known.
+    tasks: BTreeSet<Task>,
+    renewed: Time,
+}
+
+/// All agents of the zone.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    peers: BTreeMap<Node, Peer>,
+}
+
+/// Directions that are gathered for their agents.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    directions: BTreeMap<Node, Vec<Direction>>,
+}
+
+impl Outbox {
+    /// Adds a direction.
+    pub fn push(&mut self, node: &Node, task: Task, order: Order) {
+        let direction = Direction { task, order };
+        match self.directions.get_mut(node) {
+            Some(directions) => directions.push(direction),
+            None => drop(self.directions.insert(node.clone(), vec![direction])),
+        }
+    }
+}
+
+impl Peers {
+    /// Takes in a start of an agent; returns whether it is new.
+    pub fn put(&mut self, now: Time, node: &Node, boot: Boot) -> bool {
+        if self.peers.get(node).is_some_and(|peer| peer.boot == boot) {
+            return false;
+        }
+        let stamp = Stamp::default();
+        let tasks = BTreeSet::new();
+        let peer = Peer { boot, stamp, arrived: now, tasks, renewed: now };
+        self.peers.insert(node.clone(), peer);
+        true
+    }
+
+    /// Takes in the clock of a report; returns false if the report is of another start or
+    /// older than one taken before.
+    pub fn hear(&mut self, now: Time, node: &Node, report: &Report) -> bool {
+        let Some(peer) = self.peers.get_mut(node) else {
+            return false;
+        };
+        if peer.boot != report.boot || report.sent < peer.stamp {
+            return false;
+        }
+        if report.sent > peer.stamp {
+            peer.stamp = report.sent;
+            peer.arrived = now;
+        }
+        true
+    }
+
+    /// Notes that a part runs at an agent, or no longer does.
+    pub fn note(&mut self, node: &Node, task: Task, runs: bool) {
+        let Some(peer) = self.peers.get_mut(node) else {
+            return;
+        };
+        if runs {
+            peer.tasks.insert(task);
+        } else {
+            peer.tasks.remove(&task);
+        }
+    }
+
+    /// Returns the parts whose renewal is due, agent by agent.
+    pub fn due(&mut self, now: Time) -> Vec<(Node, Vec<Task>)> {
+        let mut due = Vec::new();
+        for (node, peer) in &mut self.peers {
+            if !peer.tasks.is_empty() && now.since(peer.renewed) >= RENEW_EVERY {
+                peer.renewed = now;
+                due.push((node.clone(), peer.tasks.iter().copied().collect()));
+            }
+        }
+        due
+    }
+
+    /// Returns the lease that ends for an agent at `end` on the planner's clock or before.
+    pub fn lease(&self, node: &Node, end: Time) -> Millis {
+        let span = self.peers.get(node).map_or_else(Default::default, |p| end.since(p.arrived));
+        Millis(u64::try_from(span.as_millis()).unwrap_or(0))
+    }
+
+    /// Returns the command that asks an agent for all its parts.
+    pub fn survey(&self, now: Time, term: &Term, node: &Node) -> Option<Effect> {
+        self.command(now, term, node, Vec::new())
+    }
+
+    /// Turns the gathered directions into commands.
+    pub fn flush(&self, now: Time, term: &Term, outbox: Outbox) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (node, directions) in outbox.directions {
+            for some in directions.chunks(DIRECTIONS) {
+                effects.extend(self.command(now, term, &node, some.to_vec()));
+            }
+        }
+        effects
+    }
+
+    fn command(
+        &self,
+        now: Time,
+        term: &Term,
+        node: &Node,
+        directions: Vec<Direction>,
+    ) -> Option<Effect> {
+        let peer = self.peers.get(node)?;
+        let (boot, echo) = (peer.boot, peer.stamp);
+        let command = Command { term: term.clone(), boot, sent: now.into(), echo, directions };
+        Some(Effect::Send { node: node.clone(), command })
+    }
+}
--- a/persimmondrift/src/place.rs
+++ b/persimmondrift/src/place.rs
@@ -219,6 +219,15 @@
         self.jobs.entry(job).or_insert(entry);
     }
 
+    /// Takes in that an attempt of a job runs already.
+    pub fn adopt(&mut self, job: Job, attempt: Attempt, seats: Vec<Seat>) {
+        self.take(&seats);
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.attempt = attempt;
+            entry.seats = seats;
+        }
+    }
+
     /// Takes in that an attempt has left its accelerators without an end of the job.
     pub fn released(&mut self, job: Job, attempt: Attempt) {
         let Some(entry) = self.jobs.get_mut(&job) else {
--- /dev/null
+++ b/persimmondrift/tests/gang_world/mod.rs
@@ -0,0 +1,264 @@
+//! A planner, two agents and their workers around the real state machines, in virtual time.
+//! Each process has its own clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use persimmondrift::adapter::worker::{Listed, State};
+use persimmondrift::gang::{
+    Action, Command, Coordinator, Effect, Ending, Holder, LEASE, Report, Started, Task, Term,
+};
+use persimmondrift::place::{Adjacency, Class, Eviction, Seat, Shape, Spec};
+use persimmondrift::unit::{
+    Accelerators, Attempt, Boot, Cores, Epoch, Job, Mebibytes, Millis, Node, Time,
+};
+
+/// The only job.
+pub const JOB: Job = Job(7);
+/// The agents' nodes.
+pub const NODES: [&str; 2] = ["a", "b"];
+/// The clock of an agent is ahead of the planner's by this much and more.
+const SKEW: Duration = Duration::from_secs(1_000);
+
+/// A message on its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// To an agent, from the planner of an epoch.
+    Command(usize, Command),
+    /// From an agent.
+    Report(usize, Report),
+}
+
+/// How a worker treats the calls that start a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Calls {
+    /// It carries them out.
+    Work,
+    /// It refuses them.
+    Refuse,
+    /// It carries them out, and the answer is lost.
+    LoseAnswer,
+    /// It does nothing, and the answer is lost.
+    Lose,
+}
+
+/// A part at a worker.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The end of its lease, on the agent's clock.
+    pub until: Time,
+    /// Its state.
+    pub state: State,
+}
+
+/// An agent with its worker.
+#[derive(Debug, Clone)]
+pub struct Side {
+    /// The agent.
+    pub holder: Holder,
+    /// The parts that the worker knows.
+    pub runs: BTreeMap<Task, Run>,
+    /// How the worker treats calls.
+    pub calls: Calls,
+}
+
+/// Everything.
+#[derive(Debug, Clone)]
+pub struct World {
+    /// The time of the planner's clock.
+    pub now: Time,
+    /// The agents.
+    pub sides: [Side; 2],
+    /// Messages sent and not delivered.
+    pub wire: Vec<Message>,
+    /// Since when one part has run without the other.
+    pub alone: Option<Time>,
+}
+
+/// Returns a node.
+pub fn node(index: usize) -> Node {
+    Node::try_from(NODES[index]).expect("valid")
+}
+
+/// Returns a planner.
+pub fn planner(epoch: u64) -> Coordinator {
+    Coordinator::new(Term { zone: "z".parse().expect("valid"), epoch: Epoch(epoch) })
+}
+
+/// Returns what the job needs.
+pub fn spec() -> Spec {
+    Spec {
+        workspace: "studio".parse().expect("valid"),
+        kind: "render".parse().expect("valid"),
+        shape: Shape {
+            parts: 2,
+            accelerators: Accelerators(8),
+            cores: Cores(1),
+            memory: Mebibytes(1),
+            adjacency: Adjacency::Rack,
+        },
+        class: Class::Urgent,
+        eviction: Eviction::Checkpoint,
+        run_ms: Millis(60_000),
+        claim: false,
+        zone: None,
+    }
+}
+
+/// Returns the place of each part.
+pub fn seats() -> Vec<Seat> {
+    [0, 1].map(|index| Seat { node: node(index), mask: 0xff }).to_vec()
+}
+
+impl World {
+    /// Creates two agents without parts.
+    pub fn new() -> Self {
+        let now = Time::from_secs(50);
+        let side = |index: usize| Side {
+            holder: Holder::new(Boot(1 + index as u64)),
+            runs: BTreeMap::new(),
+            calls: Calls::Work,
+        };
+        let mut world = Self { now, sides: [side(0), side(1)], wire: Vec::new(), alone: None };
+        world.list(0);
+        world.list(1);
+        world
+    }
+
+    /// Returns the time on the clock of an agent.
+    pub fn clock(&self, index: usize) -> Time {
+        self.now + SKEW * (1 + u32::try_from(index).expect("small"))
+    }
+
+    /// Takes in what a planner asks for; returns what is not a message.
+    pub fn send(&mut self, effects: Vec<Effect>) -> Vec<Effect> {
+        let mut others = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { node, command } => {
+                    let index = usize::from(node.as_str() == NODES[1]);
+                    self.wire.push(Message::Command(index, command));
+                }
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    /// Hands a command to an agent.
+    pub fn command(&mut self, index: usize, command: Command) {
+        let now = self.clock(index);
+        let actions = self.sides[index].holder.command(now, command);
+        self.act(index, actions);
+    }
+
+    /// Lets leases lapse at an agent.
+    pub fn tick(&mut self, index: usize) {
+        let now = self.clock(index);
+        let actions = self.sides[index].holder.tick(now);
+        self.act(index, actions);
+    }
+
+    /// Lets an agent look at its worker.
+    pub fn list(&mut self, index: usize) {
+        let now = self.clock(index);
+        let side = &mut self.sides[index];
+        let listed = |(&task, run): (&Task, &Run)| Listed { task, mask: 0xff, state: run.state };
+        let list: Vec<Listed> = side.runs.iter().map(listed).collect();
+        let actions = side.holder.listed(now, now, &list);
+        self.act(index, actions);
+    }
+
+    /// Restarts an agent; its worker goes on.
+    pub fn restart(&mut self, index: usize, boot: u64) {
+        self.sides[index].holder = Holder::new(Boot(boot));
+        self.list(index);
+    }
+
+    /// Lets time pass: the workers' own timers end their parts.
+    pub fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
+        for index in 0..2 {
+            let now = self.clock(index);
+            for run in self.sides[index].runs.values_mut() {
+                if run.state == State::Running && run.until <= now {
+                    run.state = State::Stopped;
+                }
+            }
+        }
+    }
+
+    /// Returns the attempt of which a part runs at an agent's worker.
+    pub fn running(&self, index: usize) -> Option<Attempt> {
+        let runs =
+            |(task, run): (&Task, &Run)| (run.state == State::Running).then_some(task.attempt);
+        self.sides[index].runs.iter().find_map(runs)
+    }
+
+    /// Checks that no part has run alone for longer than a lease, and that at most one
+    /// attempt runs.
+    pub fn check(&mut self) -> Result<(), String> {
+        let running = [self.running(0), self.running(1)];
+        match running {
+            [Some(first), Some(second)] if first != second => {
+                return Err(format!("attempts {first} and {second} run at once"));
+            }
+            [Some(_), None] | [None, Some(_)] => {
+                let since = *self.alone.get_or_insert(self.now);
+                if self.now.since(since) > Duration::from(LEASE) {
+                    return Err(format!("a part has run alone since {since}, now {}", self.now));
+                }
+            }
+            _ => self.alone = None,
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            let now = self.clock(index);
+            let side = &mut self.sides[index];
+            match action {
+                Action::Start { task, until, .. } => {
+                    let (runs, started) = match side.calls {
+                        Calls::Work => (true, Started::Confirmed),
+                        Calls::Refuse => (false, Started::Refused),
+                        Calls::LoseAnswer => (true, Started::Unknown),
+                        Calls::Lose => (false, Started::Unknown),
+                    };
+                    if runs && until > now {
+                        let run = Run { until, state: State::Running };
+                        side.runs.entry(task).or_insert(run);
+                    }
+                    let actions = side.holder.started(now, task, started);
+                    self.act(index, actions);
+                }
+                Action::Renew { task, until } => {
+                    if let Some(run) = side.runs.get_mut(&task)
+                        && run.state == State::Running
+                    {
+                        run.until = until;
+                    }
+                }
+                Action::Stop { task } => {
+                    let stopped = Run { until: now, state: State::Stopped };
+                    let run = side.runs.entry(task).or_insert(stopped);
+                    if run.state == State::Running {
+                        run.state = State::Stopped;
+                    }
+                    let actions = side.holder.stopped(now, task, true);
+                    self.act(index, actions);
+                }
+                Action::Report(report) => self.wire.push(Message::Report(index, report)),
+            }
+        }
+    }
+}
+
+/// Returns how an attempt ended, if these effects tell.
+pub fn ending(effects: &[Effect]) -> Option<Ending> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Over { ending, .. } => Some(ending.clone()),
+        _ => None,
+    })
+}
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -144,15 +144,16 @@
         }
         "/tasks/stop" => {
             let task: Task = serde_json::from_slice(&body)?;
-            if let Some(run) = runs.get_mut(&task)
-                && run.state() == State::Running
-            {
+            let unknown = Run { mask: 0, began: now, ends: now, lease: now, stopped: true };
+            let run = runs.entry(task).or_insert(unknown);
+            if run.state() == State::Running {
                 run.stopped = true;
             }
             Ok(Response::text("stopped"))
         }
         "/tasks/list" => {
-            let listed = |(&task, run): (&Task, &Run)| Listed { task, state: run.state() };
+            let listed =
+                |(&task, run): (&Task, &Run)| Listed { task, mask: run.mask, state: run.state() };
             Ok(Response::json(&runs.iter().map(listed).collect::<Vec<_>>()))
         }
         _ => Ok(Response::empty_404()),
