--- a/persimmondrift/tests/gang_faults.rs
+++ b/persimmondrift/tests/gang_faults.rs
@@ -1,13 +1,11 @@
 //! Faults of messages, agents, workers and the table: all parts run, or none within a lease.
 
-mod gang_world;
-
 use std::time::Duration;
 
-use gang_world::{Calls, JOB, Message, World, ending, node, planner, seats, spec};
 use persimmondrift::adapter::worker::State;
 use persimmondrift::gang::{Coordinator, Effect, Ending, Order, Phase, SLACK};
 use persimmondrift::unit::{Attempt, Boot, Time};
+use standin::gang::{Calls, JOB, Message, World, ending, node, planner, seats, spec};
 
 const STEP: Duration = Duration::from_millis(50);
 const END: Duration = Duration::from_secs(40);
@@ -95,9 +93,15 @@
     want: Want::Runs,
 };
 
-fn cases() -> Vec<Case> {
-    let stopped = || Want::Over(Ending::Stopped);
-    let failed = || Want::Over(Ending::Failed(node(1)));
+fn stopped() -> Want {
+    Want::Over(Ending::Stopped)
+}
+
+fn failed() -> Want {
+    Want::Over(Ending::Failed(node(1)))
+}
+
+fn start_cases() -> Vec<Case> {
     vec![
         CALM,
         Case { name: "a prepare is lost", fate: |n, _, _| lose_if(n == 0), ..CALM },
@@ -131,6 +135,11 @@
             fate: |n, _, _| lose_if((n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) % 10 < 3),
             ..CALM
         },
+    ]
+}
+
+fn lease_cases() -> Vec<Case> {
+    vec![
         Case {
             name: "an agent is not heard any more",
             fate: |_, s, m| lose_if(s >= 3 && from(m, 1)),
@@ -196,6 +205,11 @@
             event: |scene, ms| scene.paused[1] = (3_000..8_000).contains(&ms),
             ..CALM
         },
+    ]
+}
+
+fn worker_cases() -> Vec<Case> {
+    vec![
         Case {
             name: "a worker refuses to start",
             event: |scene, _| scene.world.sides[1].calls = Calls::Refuse,
@@ -291,7 +305,7 @@
 impl Scene {
     fn new() -> Self {
         Self {
-            world: World::new(),
+            world: World::default(),
             planner: planner(1),
             late: Vec::new(),
             paused: [false; 2],
@@ -393,7 +407,7 @@
 
 #[test]
 fn all_parts_run_or_none() {
-    for case in cases() {
+    for case in [start_cases(), lease_cases(), worker_cases()].into_iter().flatten() {
         let mut scene = Scene::new();
         scene.run(&case);
         let running = [0, 1].map(|index| scene.world.running(index).is_some());
@@ -435,7 +449,7 @@
 /// An older planner, or one that means an earlier start of the agent, is not obeyed.
 #[test]
 fn older_planners_are_not_obeyed() {
-    let mut world = World::new();
+    let mut world = World::default();
     let mut planners = [planner(1), planner(2)];
     for planner in &mut planners {
         planner.put_agent(world.now, &node(0), Boot(1));
@@ -463,7 +477,7 @@
 /// The end of a part is remembered for longer than that of any part which ended before.
 #[test]
 fn the_oldest_end_is_forgotten_first() {
-    let mut world = World::new();
+    let mut world = World::default();
     let mut planner = planner(1);
     planner.put_agent(world.now, &node(0), Boot(1));
     let task = |job| persimmondrift::gang::Task {
--- a/persimmondrift/tests/gang_world/mod.rs
+++ b/standin/src/gang.rs
@@ -18,7 +18,7 @@
 /// The agents' nodes.
 pub const NODES: [&str; 2] = ["a", "b"];
 /// The clock of an agent is ahead of the planner's by this much and more.
-const SKEW: Duration = Duration::from_secs(1_000);
+const SKEW: Millis = Millis(1_000_000);
 
 /// A message on its way.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -76,16 +76,31 @@
 }
 
 /// Returns a node.
+///
+/// # Panics
+///
+/// Panics if there is no such agent.
+#[must_use]
 pub fn node(index: usize) -> Node {
     Node::try_from(NODES[index]).expect("valid")
 }
 
 /// Returns a planner.
+///
+/// # Panics
+///
+/// Never panics in practice.
+#[must_use]
 pub fn planner(epoch: u64) -> Coordinator {
     Coordinator::new(Term { zone: "z".parse().expect("valid"), epoch: Epoch(epoch) })
 }
 
 /// Returns what the job needs.
+///
+/// # Panics
+///
+/// Never panics in practice.
+#[must_use]
 pub fn spec() -> Spec {
     Spec {
         workspace: "studio".parse().expect("valid"),
@@ -106,13 +121,14 @@
 }
 
 /// Returns the place of each part.
+#[must_use]
 pub fn seats() -> Vec<Seat> {
     [0, 1].map(|index| Seat { node: node(index), mask: 0xff }).to_vec()
 }
 
-impl World {
-    /// Creates two agents without parts.
-    pub fn new() -> Self {
+impl Default for World {
+    /// Returns two agents without parts.
+    fn default() -> Self {
         let now = Time::from_secs(50);
         let side = |index: usize| Side {
             holder: Holder::new(Boot(1 + index as u64)),
@@ -124,10 +140,13 @@
         world.list(1);
         world
     }
+}
 
+impl World {
     /// Returns the time on the clock of an agent.
+    #[must_use]
     pub fn clock(&self, index: usize) -> Time {
-        self.now + SKEW * (1 + u32::try_from(index).expect("small"))
+        self.now + Millis(SKEW.0 * (1 + index as u64))
     }
 
     /// Takes in what a planner asks for; returns what is not a message.
@@ -189,6 +208,7 @@
     }
 
     /// Returns the attempt of which a part runs at an agent's worker.
+    #[must_use]
     pub fn running(&self, index: usize) -> Option<Attempt> {
         let runs =
             |(task, run): (&Task, &Run)| (run.state == State::Running).then_some(task.attempt);
@@ -197,6 +217,10 @@
 
     /// Checks that no part has run alone for longer than a lease, and that at most one
     /// attempt runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was seen instead.
     pub fn check(&mut self) -> Result<(), String> {
         let running = [self.running(0), self.running(1)];
         match running {
@@ -256,6 +280,7 @@
 }
 
 /// Returns how an attempt ended, if these effects tell.
+#[must_use]
 pub fn ending(effects: &[Effect]) -> Option<Ending> {
     effects.iter().find_map(|effect| match effect {
         Effect::Over { ending, .. } => Some(ending.clone()),
