Explore all interleavings of the gang protocol with two parts

Cause: single fault cases do not show that no order of messages, losses and planner changes leaves one part running.

Ruled out: two faults at once, and one fault next to two planners: both ran for over 100 s on 10 cores without an end.

--- /dev/null
+++ b/persimmondrift/tests/gang_interleavings.rs
@@ -0,0 +1,304 @@
+//! All interleavings of the gang protocol with two parts, a planner change, and a bounded
+//! number of lost, doubled and late messages and paused agents.
+
+use std::collections::HashSet;
+use std::fmt::{self, Write};
+use std::hash::{DefaultHasher, Hasher};
+use std::time::Duration;
+
+use persimmondrift::gang::{Coordinator, Effect, Found, Holding, Phase, Report};
+use persimmondrift::unit::{Attempt, Boot, Time};
+use standin::gang::{JOB, Message, World, node, planner, seats, spec};
+
+/// Time that passes in a step.
+const STEP: Duration = Duration::from_millis(1_500);
+/// Steps in which faults and the change of the planner happen.
+const TROUBLED: u32 = 4;
+/// Steps of a run: the last fault, a lease, and the stopping of the rest.
+const STEPS: u32 = 16;
+/// Time that a new planner waits for the other part of an attempt.
+const ADOPT_WITHIN: Duration = Duration::from_secs(3);
+
+/// A planner that has taken the role.
+#[derive(Debug, Clone)]
+struct Planner {
+    epoch: u64,
+    coordinator: Coordinator,
+    /// What each agent has told of its parts, and when.
+    told: [Option<(Time, Vec<Found>)>; 2],
+    /// Whether it knows what the agents ran when it took the role.
+    knows: bool,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    world: World,
+    planners: Vec<Planner>,
+    /// The epoch and the last attempt in the table.
+    epoch: u64,
+    recorded: u32,
+    steps: u32,
+    faults: u32,
+}
+
+/// Counts of what was explored.
+#[derive(Debug, Default)]
+struct Seen {
+    states: HashSet<u64>,
+    ends_running: usize,
+    ends_empty: usize,
+}
+
+struct Digest(DefaultHasher);
+
+impl Write for Digest {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
+impl State {
+    fn new(faults: u32) -> Self {
+        let (world, planners) = (World::default(), Vec::new());
+        let mut state = Self { world, planners, epoch: 0, recorded: 0, steps: 0, faults };
+        state.take_role();
+        state.planners[0].knows = true;
+        state.begin(0);
+        state
+    }
+
+    /// Returns a number that states with the same future share: messages of different ways
+    /// pass each other anyhow, so their order among each other does not count.
+    fn digest(&mut self) -> u64 {
+        self.world.wire.sort_by_key(|message| match message {
+            Message::Command(agent, command) => (0, *agent, command.term.epoch, command.sent),
+            Message::Report(agent, report) => (1, *agent, report.epoch, report.sent),
+        });
+        let mut digest = Digest(DefaultHasher::new());
+        write!(digest, "{self:?}").expect("a digest takes all");
+        digest.0.finish()
+    }
+
+    fn take_role(&mut self) {
+        self.epoch += 1;
+        let mut coordinator = planner(self.epoch);
+        for index in 0..2 {
+            coordinator.put_agent(self.world.now, &node(index), Boot(1 + index as u64));
+        }
+        let planner = Planner { epoch: self.epoch, coordinator, told: [None, None], knows: false };
+        self.planners.push(planner);
+    }
+
+    fn begin(&mut self, index: usize) {
+        let attempt = Attempt(self.recorded + 1);
+        let coordinator = &mut self.planners[index].coordinator;
+        let effects = coordinator.begin(self.world.now, JOB, attempt, spec(), seats());
+        self.take(index, effects);
+    }
+
+    fn take(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in self.world.send(effects) {
+            if let Effect::Record { attempt, .. } = effect {
+                let held = self.planners[index].epoch == self.epoch;
+                let written = held && self.recorded < attempt.0;
+                if written {
+                    self.recorded = attempt.0;
+                }
+                let now = self.world.now;
+                let planner = &mut self.planners[index];
+                let more = planner.coordinator.recorded(now, JOB, attempt, written);
+                self.take(index, more);
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: usize, twice: bool) {
+        let message = self.world.wire[at].clone();
+        if !twice {
+            self.world.wire.remove(at);
+        }
+        match message {
+            Message::Command(agent, command) => self.world.command(agent, command),
+            Message::Report(agent, report) => {
+                for index in 0..self.planners.len() {
+                    self.report(index, agent, &report);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize, agent: usize, report: &Report) {
+        let now = self.world.now;
+        let planner = &mut self.planners[index];
+        if report.epoch.0 != planner.epoch {
+            return;
+        }
+        let effects = planner.coordinator.report(now, &node(agent), report);
+        if report.whole && planner.told[agent].is_none() {
+            let at = report.echo.time();
+            let found =
+                |holding: &Holding| Found { node: node(agent), holding: holding.clone(), at };
+            planner.told[agent] = Some((now, report.holdings.iter().map(found).collect()));
+        }
+        self.take(index, effects);
+        self.learn(index);
+    }
+
+    /// Goes on with what both agents run, or stops it.
+    fn learn(&mut self, index: usize) {
+        let now = self.world.now;
+        let planner = &mut self.planners[index];
+        let heard = |at: &Time| now.since(*at) >= ADOPT_WITHIN;
+        let late = planner.told.iter().flatten().any(|(at, _)| heard(at));
+        let all = planner.told.iter().all(Option::is_some);
+        if planner.knows || !(all || late) {
+            return;
+        }
+        planner.knows = true;
+        let told: Vec<Found> =
+            planner.told.iter().flatten().flat_map(|(_, found)| found.clone()).collect();
+        let (held, runs): (Vec<Found>, Vec<Found>) =
+            told.into_iter().partition(|found| found.holding.phase == Phase::Held);
+        let mut effects = Vec::new();
+        for found in held {
+            effects.extend(planner.coordinator.stray(now, &found.node, found.holding.task));
+        }
+        if let Some(attempt) = runs.first().map(|found| found.holding.task.attempt) {
+            let goes_on =
+                |found: &Found| matches!(found.holding.phase, Phase::Starting | Phase::Running);
+            let whole = runs.len() == 2 && runs.iter().all(goes_on);
+            effects.extend(planner.coordinator.adopt(now, JOB, attempt, runs, whole));
+        }
+        self.take(index, effects);
+    }
+
+    /// Lets a step pass; a paused agent does not look at its leases.
+    fn pass(&mut self, paused: Option<usize>) {
+        self.steps += 1;
+        self.world.pass(STEP);
+        for agent in (0..2).filter(|&agent| Some(agent) != paused) {
+            self.world.tick(agent);
+            self.world.list(agent);
+        }
+        for index in 0..self.planners.len() {
+            let now = self.world.now;
+            self.learn(index);
+            let planner = &mut self.planners[index];
+            let mut effects = planner.coordinator.tick(now);
+            for agent in 0..2 {
+                if planner.epoch > 1 && planner.told[agent].is_none() {
+                    effects.extend(planner.coordinator.survey(now, &node(agent)));
+                }
+            }
+            let free = planner.knows && planner.told.iter().all(Option::is_some);
+            let free = free && planner.coordinator.is_empty();
+            self.take(index, effects);
+            if free && self.planners[index].epoch == self.epoch && self.planners[index].epoch > 1 {
+                self.begin(index);
+            }
+        }
+    }
+
+    /// Runs to the end without further trouble; returns whether the parts run then.
+    fn settle(mut self) -> Result<bool, String> {
+        while self.steps < STEPS {
+            while !self.world.wire.is_empty() {
+                self.deliver(0, false);
+                self.world.check()?;
+            }
+            self.pass(None);
+            self.world.check()?;
+        }
+        match [0, 1].map(|index| self.world.running(index).is_some()) {
+            [first, second] if first == second => Ok(first),
+            running => Err(format!("at the end, {running:?}")),
+        }
+    }
+
+    /// Returns all states that may follow; `dies` tells whether a planner that loses the
+    /// role stops, or goes on.
+    fn next(&self, dies: bool) -> Vec<Self> {
+        let mut next = Vec::new();
+        let mut add = |cost: u32, change: &dyn Fn(&mut Self)| {
+            if cost <= self.faults {
+                let mut state = self.clone();
+                state.faults -= cost;
+                change(&mut state);
+                next.push(state);
+            }
+        };
+        for at in 0..self.world.wire.len() {
+            add(0, &|state| state.deliver(at, false));
+            add(1, &|state| state.deliver(at, true));
+            add(1, &|state| drop(state.world.wire.remove(at)));
+        }
+        add(u32::from(!self.world.wire.is_empty()), &|state| state.pass(None));
+        add(1, &|state| state.pass(Some(1)));
+        if self.epoch == 1 {
+            add(0, &|state| {
+                state.take_role();
+                if dies {
+                    state.planners.remove(0);
+                }
+            });
+        }
+        next
+    }
+}
+
+fn explore(faults: u32, dies: bool, change: bool) -> Seen {
+    let mut seen = Seen::default();
+    let mut open = vec![State::new(faults)];
+    while let Some(mut state) = open.pop() {
+        if let Err(error) = state.world.check() {
+            panic!("{error}: {state:#?}");
+        }
+        if !seen.states.insert(state.digest()) {
+            continue;
+        }
+        if state.steps == TROUBLED {
+            match state.clone().settle() {
+                Ok(true) => seen.ends_running += 1,
+                Ok(false) => seen.ends_empty += 1,
+                Err(error) => panic!("{error}: {state:#?}"),
+            }
+            continue;
+        }
+        if !change && state.epoch > 1 {
+            continue;
+        }
+        open.extend(state.next(dies));
+    }
+    seen
+}
+
+fn report(name: &str, seen: &Seen) {
+    println!(
+        "{name}: {} states, {} ends with all parts running, {} with none",
+        seen.states.len(),
+        seen.ends_running,
+        seen.ends_empty
+    );
+}
+
+#[test]
+fn one_planner_ends_in_all_or_none() {
+    let seen = explore(1, true, false);
+    report("one planner, 1 fault", &seen);
+    assert!(seen.ends_running > 0);
+}
+
+#[test]
+fn planner_that_dies_leaves_all_or_none() {
+    let seen = explore(1, true, true);
+    report("planner dies, 1 fault", &seen);
+    assert!(seen.ends_running > 0);
+}
+
+#[test]
+fn two_planners_leave_all_or_none() {
+    let seen = explore(0, false, true);
+    report("two planners, no fault", &seen);
+    assert!(seen.ends_running > 0);
+}
