--- a/persimmon-load/src/demo.rs
+++ b/persimmon-load/src/demo.rs
@@ -8,6 +8,7 @@
 use persimmondrift::adapter::operator::{Status, Told};
 use persimmondrift::config::{Change, Quota, Serving};
 use persimmondrift::entry;
+use persimmondrift::guarantee::Guarantee;
 use persimmondrift::place::{Adjacency, Class, Eviction, Outcome, Shape, Spec};
 use persimmondrift::unit::{Accelerators, Cores, Job, Mebibytes, Millis, Region, Version};
 use standin::caller::Caller;
@@ -44,8 +45,9 @@
 
 fn show(bench: &Bench) -> anyhow::Result<()> {
     let operators: Vec<SocketAddr> = bench.entries.iter().map(entry::Handle::operators).collect();
-    wait("all targets have announced themselves", || {
-        Ok(status(operators[0])?.agents.len() == bench.seats.len())
+    wait("all targets take new work", || {
+        let agents = status(operators[0])?.agents;
+        Ok(agents.iter().filter(|agent| agent.serving).count() == bench.seats.len())
     })?;
     serve(bench)?;
     let version = configure(bench, &operators)?;
@@ -74,7 +76,11 @@
     let changes = vec![
         Change::PutWorkspace {
             workspace: "studio".parse()?,
-            quota: Quota { guarantees: vec![shape], weight: 1 },
+            quota: Quota {
+                guarantees: vec![Guarantee { shape, zone: None }],
+                weight: 1,
+                limit: None,
+            },
         },
         Change::PutService {
             service: "taller-app".parse()?,
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -4,14 +4,15 @@
 mod request;
 mod work;
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use crate::adapter::link::{Arrival, Link};
-use crate::adapter::{target, worker};
+use crate::adapter::{Http, target, watch, worker};
+use crate::metric::{self, value};
 use crate::settings;
 use crate::unit::{Boot, Time};
 use crate::wire::{self, Body};
@@ -25,7 +26,9 @@
 /// Times that pause while the worker has no parts.
 const IDLE_LISTS: u32 = 5;
 /// Connections of entries served at once.
-const CONNECTIONS: usize = 256;
+const CONNECTIONS: usize = 512;
+/// Connections beyond those, which are told that there are too many.
+const SPARE_CONNECTIONS: usize = 128;
 
 /// Everything that the threads of an agent share.
 struct Shared {
@@ -37,13 +40,15 @@
     work: mpsc::Sender<work::Order>,
     waiters: request::Waiters,
     origin: Instant,
-    connections: std::sync::atomic::AtomicUsize,
+    connections: Mutex<slab::Slab<TcpStream>>,
+    metrics: metric::Agent,
     stop: AtomicBool,
 }
 
 /// A running agent.
 pub struct Handle {
     shared: Arc<Shared>,
+    watch: Option<Http>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -66,7 +71,8 @@
         link,
         settings,
         origin: Instant::now(),
-        connections: std::sync::atomic::AtomicUsize::new(0),
+        connections: Mutex::default(),
+        metrics: metric::Agent::default(),
         stop: AtomicBool::new(false),
     });
     crate::log!(Started, "agent {} at {}", shared.settings.node, shared.link.address());
@@ -77,7 +83,15 @@
         spawn(&shared, Shared::list),
         spawn(&shared, move |shared| work::run(shared, &orders)),
     ];
-    Ok(Handle { shared, threads })
+    Ok(Handle { watch: start_watch(&shared)?, shared, threads })
+}
+
+fn start_watch(shared: &Arc<Shared>) -> std::io::Result<Option<Http>> {
+    let Some(listen) = shared.settings.process.watch else {
+        return Ok(None);
+    };
+    let (ready, measured) = (Arc::clone(shared), Arc::clone(shared));
+    watch::start(listen, move || ready.core().ready(), move || measured.render()).map(Some)
 }
 
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Arc<Shared>) + Send + 'static) -> JoinHandle<()> {
@@ -92,8 +106,22 @@
         self.shared.link.address()
     }
 
+    /// Returns the address for health, readiness and metrics, if there is one.
+    #[must_use]
+    pub fn watch(&self) -> Option<SocketAddr> {
+        self.watch.as_ref().map(|http| http.address)
+    }
+
+    /// Returns whether a thread has ended that runs until the stop.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+            || self.watch.as_ref().is_some_and(Http::failed)
+    }
+
     /// Takes nothing new; what runs goes on.
     pub fn leave(&self) {
+        crate::log!(Stopping, "agent {}", self.shared.settings.node);
         let now = self.shared.now();
         let effects = self.shared.core().leave(now);
         self.shared.perform(effects);
@@ -107,12 +135,20 @@
 
     /// Ends the process's threads. What still runs at the target is not waited for.
     pub fn stop(self) {
+        self.shared.core().gate.set_leaving(true);
+        request::tick(&self.shared);
         self.shared.stop.store(true, Ordering::Relaxed);
+        for (_, stream) in self.shared.connections().iter() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         // The accept call waits for a connection: this one wakes it.
         drop(crate::adapter::link::connect(self.address(), TICK));
         for thread in self.threads {
             let _ = thread.join();
         }
+        if let Some(watch) = self.watch {
+            watch.stop();
+        }
     }
 
     /// Leaves, waits until nothing runs or the time is over, then stops.
@@ -127,6 +163,20 @@
 }
 
 impl Shared {
+    fn render(&self) -> String {
+        let metrics = &self.metrics;
+        {
+            let core = self.core();
+            metrics.version.set(value(core.version().0));
+            metrics.slots.set(self.settings.capacity.slots.0.into());
+            metrics.running.set(core.gate.running().into());
+            metrics.waiting.set(value(core.gate.waiting()));
+            metrics.parts.set(value(core.parts()));
+            metrics.leaving.set(core.leaving().into());
+        }
+        metrics.render()
+    }
+
     fn now(&self) -> Time {
         Time(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
@@ -161,24 +211,38 @@
             let Ok((stream, from)) = self.link.accept() else {
                 continue;
             };
-            if self.connections.load(Ordering::Relaxed) >= CONNECTIONS {
-                crate::warn!(FrameRefused, "from {from}: over {CONNECTIONS} connections");
+            let Some((key, spare)) = self.hold(&stream) else {
+                crate::warn!(FrameRefused, "from {from}: too many connections");
                 continue;
-            }
-            self.connections.fetch_add(1, Ordering::Relaxed);
+            };
             let shared = Arc::clone(self);
             thread::spawn(move || {
-                request::serve(&shared, &stream, from);
-                shared.connections.fetch_sub(1, Ordering::Relaxed);
+                request::serve(&shared, &stream, from, spare);
+                shared.connections().remove(key);
             });
         }
     }
 
+    /// Counts a connection, so that it can be closed, and tells whether it is a spare one.
+    /// Returns nothing if there are too many.
+    fn hold(&self, stream: &TcpStream) -> Option<(usize, bool)> {
+        let copy = stream.try_clone().ok()?;
+        let mut connections = self.connections();
+        let held = connections.len();
+        let open = held < CONNECTIONS + SPARE_CONNECTIONS;
+        open.then(|| (connections.insert(copy), held >= CONNECTIONS))
+    }
+
+    fn connections(&self) -> MutexGuard<'_, slab::Slab<TcpStream>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn tick(self: &Arc<Self>) {
         while !self.stops() {
             let now = self.now();
             let effects = self.core().tick(now);
             self.perform(effects);
+            request::tick(self);
             thread::sleep(TICK);
         }
     }
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -5,12 +5,13 @@
 
 use super::work::Order;
 use crate::adapter::worker::Listed;
-use crate::admit::Gate;
-use crate::config::Config;
+use crate::admit::{Gate, Limit};
+use crate::config::{Config, Update};
 use crate::gang::{Action, Holder, Phase, Started, Task};
 use crate::member::{ANNOUNCE_EVERY, Announce, Load, Presence, State, View};
+use crate::place::Class;
 use crate::settings;
-use crate::unit::{Boot, Node, Time, Version};
+use crate::unit::{Boot, Millis, Node, Time, Version};
 use crate::wire::{Body, Frame};
 
 /// What the agent's process does.
@@ -20,19 +21,10 @@
     Send(SocketAddr, Body),
     /// Calls the worker.
     Work(Order),
-    /// Reads the records after a version from an entry.
+    /// Reads what follows a version from an entry.
     Fetch(SocketAddr, Version),
 }
 
-/// What came of reading records.
-#[derive(Debug)]
-pub enum Fetched {
-    /// The body that the entry sent.
-    Body(Body),
-    /// No answer.
-    Nothing,
-}
-
 /// The state of an agent.
 #[derive(Debug)]
 pub struct Core {
@@ -42,17 +34,22 @@
     announced: Option<Time>,
     entries: View<Presence>,
     config: Config,
+    /// Whether an entry told the configuration since the start.
+    configured: bool,
     fetching: bool,
     leaving: bool,
     planners: BTreeMap<Node, SocketAddr>,
     pub(super) gate: Gate,
+    reports: u64,
     holder: Holder,
 }
 
 impl Core {
     /// Creates the state of an agent that listens at an address.
+    ///
+    /// It takes no work before an entry has told the configuration: it may be drained.
     pub fn new(settings: &settings::Agent, boot: Boot, address: SocketAddr) -> Self {
-        Self {
+        let mut core = Self {
             node: settings.node.clone(),
             announce: Announce {
                 service: settings.service.clone(),
@@ -68,12 +65,19 @@
             announced: None,
             entries: View::default(),
             config: Config::default(),
+            configured: false,
             fetching: false,
             leaving: false,
             planners: BTreeMap::new(),
-            gate: Gate::new(settings.capacity.slots),
+            gate: Gate::new(Limit {
+                slots: settings.capacity.slots,
+                connections: settings.capacity.connections,
+            }),
+            reports: 0,
             holder: Holder::new(boot),
-        }
+        };
+        core.apply_state();
+        core
     }
 
     /// Takes nothing new from now on.
@@ -89,6 +93,38 @@
         requests + self.gate.waiting() + self.holder.holdings().len()
     }
 
+    /// Returns whether it takes new work and hears an entry.
+    pub fn ready(&self) -> bool {
+        !self.leaving() && self.entries.alive().next().is_some()
+    }
+
+    /// Returns whether it takes nothing new.
+    pub fn leaving(&self) -> bool {
+        self.announce.state == State::Leaving
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn version(&self) -> Version {
+        self.config.version
+    }
+
+    /// Returns the number of parts held or run.
+    pub fn parts(&self) -> usize {
+        self.holder.holdings().len()
+    }
+
+    /// Returns how busy the target is, as a new report.
+    pub fn load(&mut self, now: Time) -> Load {
+        self.reports += 1;
+        Load {
+            running: self.gate.running(),
+            waiting: u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX),
+            wait: self.gate.wait(Class::Interactive),
+            number: self.reports,
+            uptime: Millis(now.0 / 1_000),
+        }
+    }
+
     /// Returns whether any part is held or runs.
     pub fn runs_parts(&self) -> bool {
         !self.holder.is_empty()
@@ -99,12 +135,12 @@
         match frame.body {
             Body::Presence(presence) => {
                 let source = (&frame.node, frame.boot, frame.sequence);
-                let ahead = presence.version > self.config.version;
-                let address = presence.address;
-                self.entries.observe(now, from, source, presence);
-                if ahead && !self.fetching {
-                    self.fetching = true;
-                    return vec![Effect::Fetch(address, self.config.version)];
+                self.entries.observe(now, from, source, presence.clone());
+                self.heard(&presence)
+            }
+            Body::Push(update) => {
+                if self.configured && self.config.advance(update) {
+                    self.in_force();
                 }
                 Vec::new()
             }
@@ -117,22 +153,44 @@
         }
     }
 
-    /// Takes in the records read from an entry.
-    pub fn fetched(&mut self, fetched: Fetched) {
+    /// Takes in the configuration of an entry.
+    fn heard(&mut self, presence: &Presence) -> Vec<Effect> {
+        if !presence.known {
+            return Vec::new();
+        }
+        if self.config.settle(presence.settled, presence.version) {
+            self.in_force();
+        }
+        if presence.version <= self.config.version {
+            self.configure();
+            return Vec::new();
+        }
+        if self.fetching {
+            return Vec::new();
+        }
+        self.fetching = true;
+        vec![Effect::Fetch(presence.address, self.config.version)]
+    }
+
+    /// Takes in what an entry sent of its configuration, if it answered.
+    pub fn fetched(&mut self, update: Option<Update>) {
         self.fetching = false;
-        match fetched {
-            Fetched::Body(Body::Records(records)) => {
-                for record in &records {
-                    if self.config.apply(record).is_err() {
-                        break;
-                    }
-                }
-            }
-            Fetched::Body(Body::Whole(config)) if config.version > self.config.version => {
-                self.config = config;
-            }
-            _ => return,
+        if let Some(update) = update
+            && self.config.advance(update)
+        {
+            self.in_force();
         }
+    }
+
+    fn configure(&mut self) {
+        if !self.configured {
+            self.configured = true;
+            self.announced = None;
+            self.apply_state();
+        }
+    }
+
+    fn in_force(&mut self) {
         crate::log!(InForce, "version {} at {}", self.config.version, self.node);
         self.apply_state();
     }
@@ -167,7 +225,8 @@
     }
 
     fn apply_state(&mut self) {
-        let leaving = self.leaving || self.config.drained.contains(&self.node);
+        let drained = self.config.drained.contains(&self.node);
+        let leaving = self.leaving || drained || !self.configured;
         self.gate.set_leaving(leaving);
         self.holder.set_leaving(leaving);
         self.announce.state = if leaving { State::Leaving } else { State::Serving };
@@ -177,10 +236,7 @@
         self.announced = Some(now);
         self.announce.version = self.config.version;
         self.announce.tasks = self.holder.holdings();
-        self.announce.load = Load {
-            running: self.gate.running(),
-            waiting: u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX),
-        };
+        self.announce.load = self.load(now);
         let mut addresses = self.seeds.clone();
         for (_, member) in self.entries.alive() {
             if !addresses.contains(&member.address) {
--- a/persimmondrift/src/declare.rs
+++ b/persimmondrift/src/declare.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::config::{Change, Config, Quota, Serving};
-use crate::settings::{self, FILE_BYTES};
+use crate::settings;
 use crate::unit::{Node, Service, Workspace};
 
 /// Most files of one declaration.
@@ -88,13 +88,7 @@
 ///
 /// Returns [`Error`] if the text is too large or malformed.
 pub fn parse(file: impl Into<PathBuf>, text: &str) -> Result<Declaration, Error> {
-    let file = file.into();
-    let found = u64::try_from(text.len()).unwrap_or(u64::MAX);
-    if found > FILE_BYTES {
-        return Err(settings::Error::Size { file, found }.into());
-    }
-    let malformed = |cause| settings::Error::Malformed { file, cause: Box::new(cause) };
-    Ok(toml::from_str(text).map_err(malformed)?)
+    Ok(settings::parse(file.into(), text)?)
 }
 
 /// Puts the parts of a declaration together.
@@ -130,7 +124,8 @@
 pub fn changes(config: &Config, declared: &Declaration) -> Vec<Change> {
     let mut changes = Vec::new();
     for (workspace, quota) in &declared.workspaces {
-        if config.workspaces.get(workspace) != Some(quota) {
+        let held = config.workspaces.get(workspace);
+        if !held.is_some_and(|held| held.is_as_stated(quota)) {
             let (workspace, quota) = (workspace.clone(), quota.clone());
             changes.push(Change::PutWorkspace { workspace, quota });
         }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -6,21 +6,24 @@
 use super::lease::Seeker;
 use super::role::{self, Role};
 use super::table::Order;
-use crate::config::{Change, Config, Record};
-use crate::gang::Report;
-use crate::intent::{Draft, Supply};
-use crate::member::{self, ANNOUNCE_EVERY, Announce, Place, Presence, State, View};
-use crate::place::Outcome;
+use crate::config::{self, Change, Config, Record, Update};
+use crate::gang::{Holding, Report};
+use crate::guarantee::Supply;
+use crate::intent::{self, Busy, Draft};
+use crate::journal::Held;
+use crate::member::{self, ANNOUNCE_EVERY, Announce, Judgement, Place, Presence, State, View};
+use crate::place::{Eviction, Host};
+use crate::route::Facts;
 use crate::settings;
-use crate::unit::{Epoch, Job, Node, Plan, Time, Version, Zone};
+use crate::unit::{Epoch, Node, Plan, Time, Version, Zone};
 use crate::wire::{Body, Frame};
 
-/// Records that are kept for those who are a little behind.
-const RECORDS: usize = 1_024;
 /// Plans that are kept until they are confirmed.
 const DRAFTS: usize = 256;
-/// Ended jobs that are remembered for operators.
-const ENDED: usize = 1_024;
+/// Versions of the past that each push repeats, for those who missed one.
+const PUSH_BACK: u64 = 8;
+/// Largest push, in bytes: it goes in one packet of the network.
+const PUSH_BYTES: usize = 1_200;
 /// Time after the start of the process before it takes a planner role: by then all
 /// agents have announced themselves.
 const ROLE_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
@@ -32,6 +35,12 @@
     Send(SocketAddr, Body),
     /// Calls the table service.
     Table(Order),
+    /// Looks for new records now.
+    Wake,
+    /// Tells the router what is known of a target.
+    Learn(Box<Facts>),
+    /// Tells the router that a target is gone.
+    Forget(Node, SocketAddr),
 }
 
 /// The state of an entry.
@@ -50,7 +59,10 @@
     pub(super) drafts: BTreeMap<Plan, Draft>,
     pub(super) roles: BTreeMap<Zone, Role>,
     pub(super) seeker: Seeker,
-    pub(super) ended: VecDeque<(Job, Outcome)>,
+    /// Whether the configuration was read since the start, or cannot be known now.
+    pub(super) known: bool,
+    pub(super) leaving: bool,
+    pushed: Version,
 }
 
 impl Core {
@@ -70,7 +82,9 @@
             drafts: BTreeMap::new(),
             roles: BTreeMap::new(),
             seeker: Seeker::default(),
-            ended: VecDeque::new(),
+            known: false,
+            leaving: false,
+            pushed: Version(0),
         }
     }
 
@@ -80,12 +94,19 @@
         match frame.body {
             Body::Announce(announce) => {
                 let changes = self.agents.observe(now, from, source, announce);
-                self.agents_changed(now, changes)
+                let new = changes.iter().any(|change| matches!(change, member::Effect::Joined(_)));
+                let mut effects = self.agents_changed(now, changes);
+                if new {
+                    // It takes no work before it knows the configuration.
+                    effects.push(Effect::Send(from, Body::Presence(self.presence())));
+                }
+                effects
             }
             Body::Presence(presence) if frame.node != self.node => {
+                let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
                 log_changes(&changes);
-                Vec::new()
+                if ahead { vec![Effect::Wake] } else { Vec::new() }
             }
             Body::Report(report) => self.report(now, &frame.node, &report),
             _ => Vec::new(),
@@ -100,10 +121,11 @@
         log_changes(&self.entries.tick(now));
         if self.announced.is_none_or(|last| now.since(last) >= ANNOUNCE_EVERY) {
             effects.extend(self.announce(now));
-            if now.since(started) >= ROLE_AFTER {
+            if self.known && now.since(started) >= ROLE_AFTER {
                 effects.extend(self.seek_roles(now));
             }
         }
+        effects.extend(self.push());
         let mut asked = Vec::new();
         for role in self.roles.values_mut() {
             asked.extend(role.tick(now));
@@ -115,6 +137,7 @@
     /// Takes in accepted records, in order.
     pub fn accept(&mut self, now: Time, records: Vec<Record>) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let mut learned = Vec::new();
         for record in records {
             match self.config.apply(&record) {
                 Ok(true) => {}
@@ -126,20 +149,17 @@
             }
             crate::log!(InForce, "version {} at {}", self.config.version, self.node);
             for change in &record.changes {
-                if let Change::End { job, outcome } = change {
-                    self.ended.push_back((*job, *outcome));
-                    self.ended.truncate(ENDED);
+                if let Change::Drain { node } | Change::Undrain { node } = change {
+                    learned.extend(self.learn(node));
                 }
                 for role in self.roles.values_mut() {
-                    effects.extend(role.change(now, change));
+                    effects.extend(role.change(now, change, &self.config));
                 }
             }
-            self.records.push_back(record);
-            while self.records.len() > RECORDS {
-                self.records.pop_front();
-            }
+            config::remember(&mut self.records, record);
         }
-        self.carry_out(effects)
+        learned.extend(self.carry_out(effects));
+        learned
     }
 
     /// Takes in that this entry holds the planner role of a zone.
@@ -149,6 +169,7 @@
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
             role.put_worker(now, node, member.boot, &member.said);
         }
+        role.configure(&self.config);
         for (&job, spec) in &self.config.jobs {
             role.submit(now, job, spec);
         }
@@ -185,17 +206,68 @@
         }
     }
 
-    /// Returns the records after a version, or the whole configuration.
-    pub fn since(&self, version: Version) -> Body {
-        if version >= self.config.version {
-            return Body::Records(Vec::new());
+    /// Takes over a whole configuration that is newer than the one held.
+    ///
+    /// Planner roles are taken anew, so that they see all jobs.
+    pub fn adopt(&mut self, config: Config) -> Vec<Effect> {
+        if config.version <= self.config.version {
+            return Vec::new();
         }
-        let held = self.records.front().is_some_and(|first| first.version <= version.next());
-        if !held {
-            return Body::Whole(self.config.clone());
+        crate::log!(Adopted, "version {} at {}", config.version, self.node);
+        self.config = config;
+        self.records.clear();
+        self.roles.clear();
+        let nodes: Vec<&Node> = self.agents.iter().map(|(node, _)| node).collect();
+        nodes.into_iter().filter_map(|node| self.learn(node)).collect()
+    }
+
+    /// Takes in that another entry sent what it holds: if it knows the configuration, or had
+    /// any, this one knows it now.
+    pub fn learn_from(&mut self, address: SocketAddr) {
+        let mut from = self.entries.iter().filter(|(_, member)| member.address == address);
+        let knows = from.any(|(_, member)| member.said.known);
+        self.known |= knows || self.config.version > Version(0);
+    }
+
+    /// Takes in records that led to the configuration adopted.
+    pub fn remember(&mut self, records: Vec<Record>) {
+        for record in records {
+            config::remember(&mut self.records, record);
         }
-        let later = self.records.iter().filter(|record| record.version > version);
-        Body::Records(later.cloned().collect())
+    }
+
+    /// Returns the configuration and the records that led to it.
+    pub fn held(&self) -> Held<'_> {
+        Held { config: &self.config, records: &self.records }
+    }
+
+    /// Returns what leads another entry on from a version.
+    pub fn since(&self, version: Version) -> Update {
+        config::for_entry(&self.config, &self.records, version)
+    }
+
+    /// Returns what leads an agent on from a version.
+    pub fn follow(&self, version: Version) -> Update {
+        config::for_agent(&self.config, &self.records, version)
+    }
+
+    /// Returns the addresses of the other entries, those of the settings included.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let mut others: Vec<SocketAddr> = Vec::new();
+        others.extend(self.entries.alive().map(|(_, member)| member.address));
+        for &seed in &self.seeds {
+            if seed != self.address && !others.contains(&seed) {
+                others.push(seed);
+            }
+        }
+        others
+    }
+
+    /// Returns how many live entries come before this one in the order of names, and how many
+    /// there are with this one.
+    pub fn rank(&self) -> (usize, usize) {
+        let before = self.entries.alive().filter(|(node, _)| **node < self.node).count();
+        (before, self.entries.alive().count() + 1)
     }
 
     /// Keeps a plan until it is confirmed.
@@ -206,17 +278,61 @@
         }
     }
 
-    /// Returns the accelerators of healthy workers.
+    /// Returns the healthy workers of each zone.
     pub fn supply(&self) -> Supply {
         let mut supply = Supply::default();
-        for (_, member) in self.agents.alive() {
-            let accelerators = member.said.capacity.accelerators;
-            supply.accelerators += accelerators;
-            supply.largest = supply.largest.max(accelerators);
+        for (node, member) in self.agents.alive() {
+            let said = &member.said;
+            let host = Host {
+                node: node.clone(),
+                rack: said.place.rack.clone(),
+                capacity: said.capacity,
+                firm: self.firm(&said.tasks),
+            };
+            supply.zones.entry(said.place.zone.clone()).or_default().push(host);
         }
         supply
     }
 
+    /// Returns what is known of the system beside the configuration.
+    pub fn facts(&self) -> intent::Facts {
+        let mut nodes = std::collections::BTreeMap::new();
+        for (node, member) in self.agents.iter() {
+            let jobs = member.said.tasks.iter().map(|holding| holding.task.job).collect();
+            let service = Some(member.said.service.clone());
+            let requests = member.said.load.running;
+            nodes.insert(node.clone(), Busy { service, requests, jobs });
+        }
+        for (node, _) in self.entries.iter() {
+            nodes.insert(node.clone(), Busy::default());
+        }
+        intent::Facts { supply: self.supply(), nodes }
+    }
+
+    /// Sends what changed to the agents at once, if it is small; the others ask for it.
+    fn push(&mut self) -> Vec<Effect> {
+        if self.pushed >= self.config.settled {
+            return Vec::new();
+        }
+        let base = Version(self.pushed.0.saturating_sub(PUSH_BACK));
+        self.pushed = self.config.version;
+        let update = self.follow(base);
+        if matches!(update, Update::Whole(_)) || size(&update) > PUSH_BYTES {
+            return Vec::new();
+        }
+        let send = |address| Effect::Send(address, Body::Push(update.clone()));
+        self.agents.alive().map(|(_, member)| send(member.address)).collect()
+    }
+
+    /// Returns the accelerators held by jobs that cannot be evicted.
+    fn firm(&self, tasks: &[Holding]) -> u64 {
+        let never = |task: &&Holding| {
+            let spec = self.config.jobs.get(&task.task.job);
+            spec.is_some_and(|spec| spec.eviction == Eviction::Never && !spec.claim)
+        };
+        tasks.iter().filter(never).fold(0, |mask, task| mask | task.mask)
+    }
+
     fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
         let Some(member) = self.agents.get(node) else {
             return Vec::new();
@@ -237,7 +353,9 @@
     fn agents_changed(&mut self, now: Time, changes: Vec<member::Effect>) -> Vec<Effect> {
         log_changes(&changes);
         let mut asked = Vec::new();
+        let mut effects = Vec::new();
         for change in changes {
+            effects.extend(self.route_change(&change));
             match change {
                 member::Effect::Joined(node) | member::Effect::Updated(node) => {
                     if let Some(member) = self.agents.get(&node)
@@ -252,35 +370,78 @@
                     }
                 }
                 member::Effect::Suspected(node) => {
-                    self.roles.values_mut().for_each(|role| role.suspect(&node));
+                    for role in self.roles.values_mut() {
+                        role.suspected(&node);
+                    }
                 }
                 member::Effect::Recovered(_) => {}
             }
         }
-        self.carry_out(asked)
+        effects.extend(self.carry_out(asked));
+        effects
     }
 
-    fn announce(&mut self, now: Time) -> Vec<Effect> {
-        self.announced = Some(now);
-        let presence = Presence {
-            place: self.place.clone(),
-            address: self.address,
-            state: State::Serving,
-            version: self.config.version,
-        };
-        let mut to: Vec<SocketAddr> = Vec::new();
-        to.extend(self.entries.alive().map(|(_, member)| member.address));
-        for &seed in &self.seeds {
-            if seed != self.address && !to.contains(&seed) {
-                to.push(seed);
+    /// Returns what a change of the members means to the router.
+    fn route_change(&self, change: &member::Effect) -> Option<Effect> {
+        match change {
+            member::Effect::Lost(node) => {
+                let member = self.agents.get(node)?;
+                Some(Effect::Forget(node.clone(), member.said.address))
             }
+            member::Effect::Joined(node)
+            | member::Effect::Updated(node)
+            | member::Effect::Suspected(node)
+            | member::Effect::Recovered(node) => self.learn(node),
         }
+    }
+
+    /// Returns what the router has to know of a target.
+    fn learn(&self, node: &Node) -> Option<Effect> {
+        let member = self.agents.get(node)?;
+        let said = &member.said;
+        let open = member.judgement == Judgement::Alive
+            && said.state == State::Serving
+            && !self.config.drained.contains(node);
+        Some(Effect::Learn(Box::new(Facts {
+            node: node.clone(),
+            boot: member.boot,
+            address: said.address,
+            place: said.place.clone(),
+            service: said.service.clone(),
+            slots: said.capacity.slots,
+            load: said.load,
+            open,
+        })))
+    }
+
+    fn announce(&mut self, now: Time) -> Vec<Effect> {
+        self.announced = Some(now);
+        let presence = self.presence();
+        let mut to = self.others();
         to.extend(self.agents.alive().map(|(_, member)| member.address));
         to.into_iter()
             .map(|address| Effect::Send(address, Body::Presence(presence.clone())))
             .collect()
     }
 
+    /// Tells the other entries what is in force here.
+    pub fn tell_entries(&self) -> Vec<Effect> {
+        let presence = self.presence();
+        let send = |address| Effect::Send(address, Body::Presence(presence.clone()));
+        self.others().into_iter().map(send).collect()
+    }
+
+    fn presence(&self) -> Presence {
+        Presence {
+            place: self.place.clone(),
+            address: self.address,
+            state: if self.leaving { State::Leaving } else { State::Serving },
+            known: self.known,
+            version: self.config.version,
+            settled: self.config.settled,
+        }
+    }
+
     /// Asks for the planner role of each zone that falls to this entry.
     fn seek_roles(&mut self, now: Time) -> Vec<Effect> {
         let mut zones: Vec<Zone> = Vec::new();
@@ -324,6 +485,10 @@
     }
 }
 
+fn size(update: &Update) -> usize {
+    postcard::to_stdvec(update).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 fn log_changes(changes: &[member::Effect]) {
     for change in changes {
         match change {
--- a/persimmondrift/src/entry/lease.rs
+++ b/persimmondrift/src/entry/lease.rs
@@ -94,7 +94,7 @@
 
 fn try_take(shared: &Shared, zone: &Zone) -> Result<Lease, Error> {
     let key = lease_key(zone);
-    let row = (shared.table.read)(&key)?;
+    let row = (shared.table.calls.read)(&key)?;
     let (expected, epoch) = match &row {
         Some(row) => {
             let lease: Lease = decode(row)?;
@@ -108,10 +108,9 @@
     let (holder, boot) = (shared.settings.node.clone(), shared.link.boot());
     let lease = Lease { holder, boot, epoch };
     let write = write_of(shared, key, expected, &lease)?;
-    if store::commit(&shared.table, &[write])? == Outcome::Refused {
+    if store::commit(&shared.table.calls, &[write])? != Outcome::Applied {
         return Ok(read_lease(shared, zone)?.1);
     }
-    table::refresh(shared)?;
     Ok(lease)
 }
 
@@ -166,7 +165,7 @@
         return Ok(Recorded::Unwritten);
     }
     let key = format!("attempt/{:020}", task.job.0);
-    let row = (shared.table.read)(&key)?;
+    let row = (shared.table.calls.read)(&key)?;
     let mut expected = Version(0);
     if let Some(row) = &row {
         let last: Tried = decode(row)?;
@@ -181,14 +180,14 @@
         write_of(shared, key, expected, &tried)?,
         write_of(shared, lease_key(zone), held, &lease)?,
     ];
-    match store::commit(&shared.table, &writes)? {
+    match store::commit(&shared.table.calls, &writes)? {
         Outcome::Applied => Ok(Recorded::Written),
-        Outcome::Refused => Ok(Recorded::Unwritten),
+        Outcome::Refused | Outcome::Overtaken => Ok(Recorded::Unwritten),
     }
 }
 
 fn read_lease(shared: &Shared, zone: &Zone) -> Result<(Version, Lease), Error> {
-    let row = (shared.table.read)(&lease_key(zone))?.ok_or(Error::Malformed)?;
+    let row = (shared.table.calls.read)(&lease_key(zone))?.ok_or(Error::Malformed)?;
     Ok((row.version, decode(&row)?))
 }
 
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -12,10 +12,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::succession::{Lot, Prior, SETTLE_WITHIN, Succession};
-use crate::config::Change;
+use crate::config::{Change, Config};
 use crate::gang::{self, Command, Coordinator, Ending, Holding, Phase, Report, Term};
+use crate::guarantee;
+use crate::health::Verdict;
 use crate::member::Announce;
-use crate::place::{self, Outcome, Planner, Seat, Spec, Summary};
+use crate::place::{self, Outcome, Planner, Seat, Share, Spec, Summary};
 use crate::unit::{Attempt, Boot, Epoch, Job, Node, Time, Zone};
 
 pub use self::succession::silent_within;
@@ -28,8 +30,6 @@
 const CHECK_WITHIN: Duration = Duration::from_secs(2);
 /// Time without a tick after which the role must be checked before anything is done.
 pub const PAUSED_AFTER: Duration = Duration::from_secs(2);
-/// Pause before a job is placed again that an agent or the table service has refused.
-const PLACE_AGAIN: Duration = Duration::from_millis(500);
 /// Pause before the end of a job is written again; it doubles up to the longest.
 const END_AGAIN: Duration = Duration::from_secs(1);
 /// The longest such pause.
@@ -115,10 +115,6 @@
     spec: Spec,
     /// The last attempt that is over.
     over: Attempt,
-    /// The number that the placement gave to the attempt under way.
-    placed: Attempt,
-    /// When the placement hears that the attempt is over.
-    release: Option<Time>,
 }
 
 /// The planner role of a zone.
@@ -183,12 +179,23 @@
         if self.succession.put(now, node, boot, said) {
             self.coordinator.put_agent(now, node, boot);
         }
-        self.place_worker(node, true);
+        self.place_worker(node);
+        self.planner.put_holdings(node, &said.tasks);
     }
 
     /// Takes in that an agent is silent: it gets nothing new.
-    pub fn suspect(&mut self, node: &Node) {
-        self.place_worker(node, false);
+    pub fn suspected(&mut self, node: &Node) {
+        self.planner.close_worker(node);
+    }
+
+    /// Takes in the guarantees and shares of a configuration.
+    pub fn configure(&mut self, config: &Config) {
+        self.planner.set_guarantees(guarantee::promises(config, &self.term.zone));
+        self.planner.clear_shares();
+        for (workspace, quota) in &config.workspaces {
+            let share = Share { weight: quota.weight, limit: quota.limit };
+            self.planner.set_share(workspace.clone(), share);
+        }
     }
 
     /// Takes in a job, if it may run in this zone.
@@ -196,14 +203,13 @@
         if spec.zone.as_ref().is_some_and(|zone| *zone != self.term.zone) {
             return;
         }
-        let none = Attempt(0);
-        let known = Known { spec: spec.clone(), over: none, placed: none, release: None };
+        let known = Known { spec: spec.clone(), over: Attempt(0) };
         self.jobs.entry(job).or_insert(known);
         self.place_job(now, job);
     }
 
     /// Takes in an accepted change.
-    pub fn change(&mut self, now: Time, change: &Change) -> Vec<Effect> {
+    pub fn change(&mut self, now: Time, change: &Change, config: &Config) -> Vec<Effect> {
         match change {
             Change::Submit { job, spec } => {
                 self.submit(now, *job, spec);
@@ -214,6 +220,10 @@
                 self.ends.remove(job);
                 self.cancel(now, *job)
             }
+            Change::PutWorkspace { .. } | Change::RemoveWorkspace { .. } => {
+                self.configure(config);
+                Vec::new()
+            }
             _ => Vec::new(),
         }
     }
@@ -221,7 +231,7 @@
     /// Takes in that a worker is lost.
     pub fn lost(&mut self, now: Time, node: &Node) -> Vec<Effect> {
         self.succession.remove(node);
-        let decisions = self.planner.remove_worker(node);
+        let decisions = self.planner.remove_worker(now, node);
         let mut effects = self.decide(now, decisions);
         let asked = self.coordinator.lost(now, node);
         effects.extend(self.drive(now, asked));
@@ -235,7 +245,7 @@
         }
         let mut asked = self.coordinator.report(now, node, report);
         if report.whole && self.succession.heard(node, report.boot).is_some() {
-            self.place_worker(node, true);
+            self.place_worker(node);
             for holding in &report.holdings {
                 asked.extend(self.find(now, node, holding, report.echo.time()));
             }
@@ -284,7 +294,6 @@
         }
         if self.woke.is_none() {
             effects.extend(self.succeed(now));
-            self.release(now);
             let decisions = self.planner.step(now);
             effects.extend(self.decide(now, decisions));
         }
@@ -351,25 +360,38 @@
 
     fn take_lot(&mut self, now: Time) -> Option<(Job, Lot, bool)> {
         let (jobs, coordinator) = (&self.jobs, &self.coordinator);
-        let parts = |job| jobs.get(&job).map_or(0, |k: &Known| usize::from(k.spec.shape.parts));
+        let parts = |job| jobs.get(&job).map(|k: &Known| usize::from(k.spec.shape.parts));
         self.succession.take_lot(now, |job| !coordinator.has(job), parts)
     }
 
     fn adopt(&mut self, now: Time, job: Job, lot: Lot, whole: bool) -> Vec<gang::Effect> {
-        crate::log!(Adopted, "job {job} attempt {}: whole {whole}", lot.attempt);
-        if !whole {
-            self.planner.ended(job);
-        } else if let Some(known) = self.jobs.get_mut(&job) {
-            known.placed = lot.attempt;
-            let mut parts: Vec<_> = lot.parts.iter().collect();
-            parts.sort_unstable_by_key(|part| part.holding.task.part);
-            let seat =
-                |part: &&gang::Found| Seat { node: part.node.clone(), mask: part.holding.mask };
-            let seats = parts.iter().map(seat).collect();
-            self.planner.submit(now, job, known.spec.clone());
-            self.planner.adopt(job, lot.attempt, seats);
+        let goes_on = whole && self.book(now, job, &lot);
+        crate::log!(AttemptAdopted, "job {job} attempt {}: goes on {goes_on}", lot.attempt);
+        if !goes_on {
+            self.withdraw(now, job);
         }
-        self.coordinator.adopt(now, job, lot.attempt, lot.parts, whole)
+        self.coordinator.adopt(now, job, lot.attempt, lot.parts, goes_on)
+    }
+
+    /// Books the accelerators of an attempt that runs already.
+    fn book(&mut self, now: Time, job: Job, lot: &Lot) -> bool {
+        let Some(known) = self.jobs.get(&job) else {
+            return false;
+        };
+        let mut parts: Vec<_> = lot.parts.iter().collect();
+        parts.sort_unstable_by_key(|part| part.holding.task.part);
+        let seat = |part: &gang::Found| {
+            let (node, mask) = (part.node.clone(), part.holding.mask);
+            Seat { node, mask }
+        };
+        let seats: Vec<Seat> = parts.into_iter().map(seat).collect();
+        self.planner.submit(now, job, known.spec.clone());
+        self.planner.adopt(now, job, lot.attempt, &seats)
+    }
+
+    /// Takes a job out of the placement, which has no seats for it.
+    fn withdraw(&mut self, now: Time, job: Job) {
+        self.planner.ended(now, job, Outcome::Cancelled);
     }
 
     /// Takes in one part that an agent told of.
@@ -380,11 +402,13 @@
         }
         let ends = matches!(part.phase, Phase::Finished | Phase::Failed);
         let runs = matches!(part.phase, Phase::Starting | Phase::Running | Phase::Stopping);
-        let known = self.jobs.get(&task.job).is_some_and(|known| task.attempt > known.over);
+        let known = self.jobs.get(&task.job);
+        let over = known.is_some_and(|known| task.attempt <= known.over);
         let mut strays = Vec::new();
-        if known && (ends || runs) {
+        // A job that is not known may have been accepted a moment ago.
+        if !over && (runs || (ends && known.is_some())) {
             if !self.coordinator.has(task.job) {
-                self.planner.ended(task.job);
+                self.withdraw(now, task.job);
             }
             strays = self.succession.find(now, node, part.clone(), at);
         } else if !ends {
@@ -395,10 +419,9 @@
         strays.into_iter().flat_map(stop).collect()
     }
 
-    fn place_worker(&mut self, node: &Node, alive: bool) {
+    fn place_worker(&mut self, node: &Node) {
         if let Some(agent) = self.succession.agent(node) {
-            let open = agent.open && alive;
-            self.planner.put_worker(node, &agent.rack, agent.capacity, open);
+            self.planner.put_worker(node, &agent.rack, agent.capacity, agent.open);
         }
     }
 
@@ -409,6 +432,7 @@
         }
         if let Some(known) = self.jobs.get(&job) {
             self.planner.submit(now, job, known.spec.clone());
+            self.planner.tried(job, known.over);
         }
     }
 
@@ -422,7 +446,7 @@
         let mut effects = self.drive(now, asked);
         effects.extend(self.decide(now, decisions));
         if !self.coordinator.has(job) {
-            self.planner.ended(job);
+            self.withdraw(now, job);
         }
         effects
     }
@@ -433,19 +457,25 @@
             match decision {
                 place::Effect::Start { job, attempt, seats, reason } => {
                     let nodes: Vec<&str> = seats.iter().map(|seat| seat.node.as_str()).collect();
-                    let Some(known) = self.jobs.get_mut(&job) else {
+                    let Some(known) = self.jobs.get(&job) else {
                         continue;
                     };
-                    known.placed = attempt;
-                    let attempt = Attempt(known.over.0 + 1);
                     crate::log!(Placed, "job {job} attempt {attempt} on {nodes:?}: {reason:?}");
                     let spec = known.spec.clone();
                     asked.extend(self.coordinator.begin(now, job, attempt, spec, seats));
                 }
-                place::Effect::Stop { job, cause, .. } => {
-                    crate::log!(AttemptStopped, "job {job}: {cause:?}");
+                place::Effect::Stop { job, attempt, cause } => {
+                    crate::log!(AttemptStopped, "job {job} attempt {attempt}: {cause:?}");
                     asked.extend(self.coordinator.stop(now, job));
                 }
+                place::Effect::AtRisk { workspace, shape } => {
+                    crate::warn!(GuaranteeAtRisk, "{workspace}: {shape}, {}", self.term.zone);
+                }
+                place::Effect::Restored { workspace, shape } => {
+                    crate::log!(GuaranteeRestored, "{workspace}: {shape}, {}", self.term.zone);
+                }
+                place::Effect::Quarantined { node } => crate::warn!(Quarantined, "{node}"),
+                place::Effect::TakenBack { node } => crate::log!(TakenBack, "{node}"),
             }
         }
         self.drive(now, asked)
@@ -466,58 +496,46 @@
                 }),
                 gang::Effect::Over { job, attempt, ending } => {
                     crate::log!(AttemptOver, "job {job} attempt {attempt}: {ending:?}");
-                    self.over(now, job, attempt, &ending);
+                    effects.extend(self.over(now, job, attempt, &ending));
                 }
             }
         }
         effects
     }
 
-    fn over(&mut self, now: Time, job: Job, attempt: Attempt, ending: &Ending) {
-        let Some(known) = self.jobs.get_mut(&job) else {
-            self.planner.ended(job);
-            return;
-        };
-        known.over = known.over.max(attempt);
-        match ending {
-            Ending::Finished => self.end(now, job, Outcome::Finished),
-            Ending::Failed(_) => self.end(now, job, Outcome::Failed),
-            Ending::Refused(_) | Ending::Unwritten => known.release = Some(now + PLACE_AGAIN),
-            Ending::Stopped => self.give_back(now, job),
+    fn over(&mut self, now: Time, job: Job, attempt: Attempt, ending: &Ending) -> Vec<Effect> {
+        if let Some(known) = self.jobs.get_mut(&job) {
+            known.over = known.over.max(attempt);
         }
-    }
-
-    /// Lets a job be placed again whose attempt is over.
-    fn give_back(&mut self, now: Time, job: Job) {
-        let Some(known) = self.jobs.get(&job) else {
-            return;
-        };
-        if self.succession.holds_up(job) {
-            self.planner.ended(job);
-            return;
-        }
-        self.planner.released(job, known.placed);
-        self.place_job(now, job);
-    }
-
-    fn release(&mut self, now: Time) {
-        let mut due = Vec::new();
-        for (&job, known) in &mut self.jobs {
-            if known.release.is_some_and(|time| time <= now) {
-                known.release = None;
-                due.push(job);
+        let mut decisions = Vec::new();
+        match ending {
+            Ending::Finished => {
+                decisions = self.planner.ended(now, job, Outcome::Finished);
+                self.end(now, job, Outcome::Finished);
+            }
+            Ending::Failed(node) => {
+                let (verdict, judged) = self.planner.failed(now, job, attempt, node);
+                decisions = judged;
+                if verdict == Verdict::AtFault {
+                    self.end(now, job, Outcome::Failed);
+                }
+            }
+            Ending::Refused(_) | Ending::Unwritten | Ending::Stopped => {
+                self.planner.released(now, job, attempt);
             }
         }
-        for job in due {
-            self.give_back(now, job);
+        if !self.jobs.contains_key(&job) || self.succession.holds_up(job) {
+            self.withdraw(now, job);
         }
+        self.place_job(now, job);
+        self.decide(now, decisions)
     }
 
     fn end(&mut self, now: Time, job: Job, outcome: Outcome) {
-        crate::log!(JobEnded, "job {job}: {outcome:?}");
-        self.planner.ended(job);
-        self.jobs.remove(&job);
-        self.ends.insert(job, End { outcome, due: now, pause: END_AGAIN });
+        if self.jobs.remove(&job).is_some() {
+            crate::log!(JobEnded, "job {job}: {outcome:?}");
+            self.ends.insert(job, End { outcome, due: now, pause: END_AGAIN });
+        }
     }
 
     fn write_ends(&mut self, now: Time) -> Vec<Effect> {
--- a/persimmondrift/src/entry/role/succession.rs
+++ b/persimmondrift/src/entry/role/succession.rs
@@ -180,20 +180,23 @@
         self.lots.remove(&job)
     }
 
-    /// Takes out a lot that has all its parts, or that has waited long enough for them.
+    /// Takes out a lot that has all its parts, or that has waited long enough for them. A job
+    /// that is not known has no number of parts.
     pub fn take_lot(
         &mut self,
         now: Time,
         ready: impl Fn(Job) -> bool,
-        parts: impl Fn(Job) -> usize,
+        parts: impl Fn(Job) -> Option<usize>,
     ) -> Option<(Job, Lot, bool)> {
         let all_heard = self.complete();
         let decide = |job: Job, lot: &Lot| {
             let goes_on =
                 |phase| matches!(phase, Phase::Starting | Phase::Running | Phase::Finished);
             let fit = lot.parts.iter().all(|part| goes_on(part.holding.phase));
-            let whole = fit && lot.parts.len() == parts(job);
-            let over = !fit || all_heard || now.since(lot.since) >= ADOPT_WITHIN;
+            let wanted = parts(job);
+            let whole = fit && wanted == Some(lot.parts.len());
+            let late = now.since(lot.since) >= ADOPT_WITHIN;
+            let over = late || (wanted.is_some() && (!fit || all_heard));
             (whole || over).then_some(whole)
         };
         let mut choices = self.lots.iter().filter(|(job, _)| ready(**job));
--- a/persimmondrift/tests/role_succession.rs
+++ b/persimmondrift/tests/role_succession.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use persimmondrift::adapter::worker::State as RunState;
-use persimmondrift::config::Change;
+use persimmondrift::config::{Change, Config};
 use persimmondrift::entry::role::{Effect, Recorded, Role, Try};
 use persimmondrift::gang::Order;
 use persimmondrift::member::{Announce, Capacity, Load, Place, State};
@@ -122,7 +122,8 @@
                     self.table.end_calls += 1;
                     if !self.table.down {
                         self.table.ends.push(outcome);
-                        let more = role.change(now, &Change::End { job, outcome });
+                        let more =
+                            role.change(now, &Change::End { job, outcome }, &Config::default());
                         self.effects(planner, more);
                     }
                 }
@@ -413,7 +414,7 @@
         scene.run(millis);
         let now = scene.world.now;
         let role = scene.roles[0].as_mut().expect("held");
-        let effects = role.change(now, &Change::Cancel { job: JOB });
+        let effects = role.change(now, &Change::Cancel { job: JOB }, &Config::default());
         scene.effects(0, effects);
         scene.run(5_000);
         assert_eq!(scene.running(), [None, None], "cancelled after {millis} ms");
