--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -96,6 +96,7 @@
                 target: target.url(),
                 worker: worker.url(),
                 capacity: CAPACITY,
+                process: settings::Process::default(),
             })
             .context("agent")?;
             seats.push(Seat { node, agent, target, worker });
@@ -138,6 +139,7 @@
         table,
         objects,
         tokens: vec![settings::Token { operator: "founder".parse()?, secret: TOKEN.to_owned() }],
+        process: settings::Process::default(),
     })
 }
 
--- a/persimmondrift/src/declare.rs
+++ b/persimmondrift/src/declare.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::config::{Change, Config, Quota, Serving};
-use crate::settings::{self, FILE_BYTES};
+use crate::settings;
 use crate::unit::{Node, Service, Workspace};
 
 /// Most files of one declaration.
@@ -88,13 +88,7 @@
 ///
 /// Returns [`Error`] if the text is too large or malformed.
 pub fn parse(file: impl Into<PathBuf>, text: &str) -> Result<Declaration, Error> {
-    let file = file.into();
-    let found = u64::try_from(text.len()).unwrap_or(u64::MAX);
-    if found > FILE_BYTES {
-        return Err(settings::Error::Size { file, found }.into());
-    }
-    let malformed = |cause| settings::Error::Malformed { file, cause: Box::new(cause) };
-    Ok(toml::from_str(text).map_err(malformed)?)
+    Ok(settings::parse(file.into(), text)?)
 }
 
 /// Puts the parts of a declaration together.
--- a/persimmondrift/src/entry/request.rs
+++ b/persimmondrift/src/entry/request.rs
@@ -105,6 +105,7 @@
             crate::log!(Concluded, "request {:032x}: {}", request.0, Word(&outcome));
             return Conclusion::Outcome(outcome);
         }
+        shared.metrics.retries.inc();
         crate::log!(Retried, "request {:032x}: {}", request.0, Word(&outcome));
         earlier = Some(outcome);
     }
