--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -78,8 +78,8 @@
     let boot = link::boot();
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
-    let (log, log_orders) = mpsc::channel();
     let metrics = metric::Entry::default();
+    let (log, log_orders) = mpsc::channel();
     let shared = Arc::new(Shared {
         core: Mutex::new(Core::new(&settings, link.address())),
         random: Mutex::new(fastrand::Rng::new()),
@@ -235,8 +235,8 @@
 
     /// Fails the health check, so that the balancer sends no more callers.
     pub fn leave(&self) {
-        self.shared.core().leaving = true;
         if !self.shared.leaving.swap(true, Ordering::Relaxed) {
+            self.shared.core().leaving = true;
             crate::log!(Stopping, "entry {}", self.shared.settings.node);
         }
     }
--- a/persimmondrift/src/metric.rs
+++ b/persimmondrift/src/metric.rs
@@ -243,7 +243,8 @@
     fn word(&self) -> &'static str {
         match self {
             Self::Applied => "ok",
-            Self::Refused | Self::Overtaken => "condition",
+            Self::Refused => "condition",
+            Self::Overtaken => "overtaken",
         }
     }
 }
