--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod alone;
 pub mod bench;
 pub mod demo;
+pub mod spread;
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -10,11 +10,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::adapter::link::{Arrival, Link};
+use crate::adapter::link::{self, Arrival, Link, Traffic};
 use crate::adapter::{Http, target, watch, worker};
 use crate::metric::{self, value};
 use crate::settings;
-use crate::unit::{Boot, Time};
+use crate::unit::{Time, Version};
 use crate::wire::{self, Body};
 
 use self::core::{Core, Effect};
@@ -23,6 +23,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Pause between two looks at the parts of the worker.
 const LIST_EVERY: Duration = Duration::from_millis(200);
+/// Times that pause while the worker has no parts.
+const IDLE_LISTS: u32 = 5;
 /// Connections of entries served at once.
 const CONNECTIONS: usize = 512;
 /// Connections beyond those, which are told that there are too many.
@@ -56,12 +58,12 @@
 ///
 /// Returns the error of the socket that cannot be opened.
 pub fn start(settings: settings::Agent) -> std::io::Result<Handle> {
-    let boot = Boot(fastrand::u64(1..));
+    let boot = link::boot();
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
     let connections = usize::try_from(settings.capacity.connections.0).unwrap_or(usize::MAX);
     let shared = Arc::new(Shared {
-        core: Mutex::new(Core::new(&settings, link.address())),
+        core: Mutex::new(Core::new(&settings, boot, link.address())),
         target: target::client(connections),
         worker: worker::Client::new(&settings.worker),
         work,
@@ -94,10 +96,29 @@
 
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Arc<Shared>) + Send + 'static) -> JoinHandle<()> {
     let shared = Arc::clone(shared);
-    thread::spawn(move || run(&shared))
+    let name = shared.settings.node.to_string();
+    let thread = thread::Builder::new().name(name);
+    thread.spawn(move || run(&shared)).expect("a thread can be started")
 }
 
 impl Handle {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.shared.core().version()
+    }
+
+    /// Returns what was sent to and received from other processes, requests excepted.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.shared.link.traffic()
+    }
+
+    /// Drops a share of the datagrams that arrive, in thousandths. For tests.
+    pub fn lose(&self, thousandths: u32) {
+        self.shared.link.lose(thousandths);
+    }
+
     /// Returns the address of the agent.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -140,7 +161,7 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
         // The accept call waits for a connection: this one wakes it.
-        drop(crate::adapter::link::connect(self.address(), TICK));
+        drop(link::connect(self.address(), TICK));
         for thread in self.threads {
             let _ = thread.join();
         }
@@ -247,13 +268,19 @@
 
     fn list(self: &Arc<Self>) {
         while !self.stops() {
-            thread::sleep(LIST_EVERY);
-            if self.core().runs_parts()
-                && let Ok(listed) = self.worker.list()
-            {
-                let effects = self.core().listed(&listed);
+            let asked = self.now();
+            if let Ok(listed) = self.worker.list() {
+                let now = self.now();
+                let effects = self.core().listed(now, asked, &listed);
                 self.perform(effects);
             }
+            thread::sleep(LIST_EVERY);
+            // A worker without parts is asked less often; a part that started late is found.
+            for _ in 1..IDLE_LISTS {
+                if !self.core().runs_parts() && !self.stops() {
+                    thread::sleep(LIST_EVERY);
+                }
+            }
         }
     }
 
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -4,14 +4,14 @@
 use std::net::SocketAddr;
 
 use super::work::Order;
-use crate::adapter::worker::{self, Listed};
+use crate::adapter::worker::Listed;
 use crate::admit::{Gate, Limit};
 use crate::config::{Config, Update};
-use crate::gang::{Action, Holder, Phase, Task};
+use crate::gang::{Action, Holder, Phase, Started, Task};
 use crate::member::{ANNOUNCE_EVERY, Announce, Load, Presence, State, View};
 use crate::place::Class;
 use crate::settings;
-use crate::unit::{Millis, Node, Time, Version};
+use crate::unit::{Boot, Millis, Node, Time, Version};
 use crate::wire::{Body, Frame};
 
 /// What the agent's process does.
@@ -48,7 +48,7 @@
     /// Creates the state of an agent that listens at an address.
     ///
     /// It takes no work before an entry has told the configuration: it may be drained.
-    pub fn new(settings: &settings::Agent, address: SocketAddr) -> Self {
+    pub fn new(settings: &settings::Agent, boot: Boot, address: SocketAddr) -> Self {
         let mut core = Self {
             node: settings.node.clone(),
             announce: Announce {
@@ -74,7 +74,7 @@
                 connections: settings.capacity.connections,
             }),
             reports: 0,
-            holder: Holder::default(),
+            holder: Holder::new(boot),
         };
         core.apply_state();
         core
@@ -127,7 +127,7 @@
 
     /// Returns whether any part is held or runs.
     pub fn runs_parts(&self) -> bool {
-        !self.holder.holdings().is_empty()
+        !self.holder.is_empty()
     }
 
     /// Takes in a datagram.
@@ -144,6 +144,10 @@
                 }
                 Vec::new()
             }
+            Body::Ask => {
+                let announce = self.report(now);
+                vec![Effect::Send(from, Body::Announce(announce))]
+            }
             Body::Command(command) => {
                 self.planners.insert(frame.node, from);
                 let actions = self.holder.command(now, command);
@@ -195,24 +199,21 @@
         self.apply_state();
     }
 
-    /// Takes in the parts that the worker knows.
-    pub fn listed(&mut self, listed: &[Listed]) -> Vec<Effect> {
-        let mut actions = Vec::new();
-        for part in listed {
-            match part.state {
-                worker::State::Running => {}
-                worker::State::Finished => actions.extend(self.holder.ended(part.task, true)),
-                worker::State::Failed | worker::State::Stopped => {
-                    actions.extend(self.holder.ended(part.task, false));
-                }
-            }
-        }
+    /// Takes in the parts that the worker knows, as asked for at a time.
+    pub fn listed(&mut self, now: Time, asked: Time, listed: &[Listed]) -> Vec<Effect> {
+        let actions = self.holder.listed(now, asked, listed);
         self.act(actions)
     }
 
-    /// Takes in that a part could not be started.
-    pub fn failed(&mut self, task: Task) -> Vec<Effect> {
-        let actions = self.holder.ended(task, false);
+    /// Takes in what came of a call that starts a part.
+    pub fn started(&mut self, now: Time, task: Task, started: Started) -> Vec<Effect> {
+        let actions = self.holder.started(now, task, started);
+        self.act(actions)
+    }
+
+    /// Takes in what came of a call that stops a part.
+    pub fn stopped(&mut self, now: Time, task: Task, confirmed: bool) -> Vec<Effect> {
+        let actions = self.holder.stopped(now, task, confirmed);
         self.act(actions)
     }
 
@@ -237,41 +238,41 @@
 
     fn announce(&mut self, now: Time) -> Vec<Effect> {
         self.announced = Some(now);
-        self.announce.version = self.config.version;
-        self.announce.tasks = self.holder.holdings();
-        self.announce.load = self.load(now);
+        let report = self.report(now);
         let mut addresses = self.seeds.clone();
         for (_, member) in self.entries.alive() {
             if !addresses.contains(&member.address) {
                 addresses.push(member.address);
             }
         }
-        let send = |to| Effect::Send(to, Body::Announce(self.announce.clone()));
+        let send = |to| Effect::Send(to, Body::Announce(report.clone()));
         addresses.into_iter().map(send).collect()
     }
 
+    /// Returns what there is to announce now.
+    fn report(&mut self, now: Time) -> Announce {
+        self.announce.version = self.config.version;
+        self.announce.tasks = self.holder.holdings();
+        self.announce.load = self.load(now);
+        self.announce.clone()
+    }
+
     fn act(&mut self, actions: Vec<Action>) -> Vec<Effect> {
         let mut effects = Vec::new();
         for action in actions {
             match action {
-                Action::Start { task, mask, lease, spec } => {
-                    let start = worker::Start { task, mask, lease, spec };
-                    effects.push(Effect::Work(Order::Start(start)));
+                Action::Start { task, mask, until, spec } => {
+                    effects.push(Effect::Work(Order::Start { task, mask, until, spec }));
                 }
-                Action::Renew { task, lease } => {
-                    effects.push(Effect::Work(Order::Renew(worker::Renew { task, lease })));
+                Action::Renew { task, until } => {
+                    effects.push(Effect::Work(Order::Renew { task, until }));
                 }
                 Action::Stop { task } => effects.push(Effect::Work(Order::Stop(task))),
                 Action::Report(report) => {
-                    let ended = matches!(report.phase, Phase::Finished | Phase::Failed);
-                    if ended {
-                        crate::log!(
-                            AttemptOver,
-                            "{:?} at {}: {:?}",
-                            report.task,
-                            self.node,
-                            report.phase
-                        );
+                    for part in report.holdings.iter().filter(|_| !report.whole) {
+                        if matches!(part.phase, Phase::Finished | Phase::Failed) {
+                            crate::log!(PartEnded, "{part:?} at {}", self.node);
+                        }
                     }
                     for &planner in self.planners.values() {
                         effects.push(Effect::Send(planner, Body::Report(report.clone())));
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use super::lease::Seeker;
 use super::role::{self, Role};
 use super::table::Order;
 use crate::config::{self, Change, Config, Record, Update};
@@ -57,6 +58,7 @@
     pub(super) records: VecDeque<Record>,
     pub(super) drafts: BTreeMap<Plan, Draft>,
     pub(super) roles: BTreeMap<Zone, Role>,
+    pub(super) seeker: Seeker,
     /// Whether the configuration was read since the start, or cannot be known now.
     pub(super) known: bool,
     pub(super) leaving: bool,
@@ -79,6 +81,7 @@
             records: VecDeque::new(),
             drafts: BTreeMap::new(),
             roles: BTreeMap::new(),
+            seeker: Seeker::default(),
             known: false,
             leaving: false,
             pushed: Version(0),
@@ -106,6 +109,7 @@
                 if ahead { vec![Effect::Wake] } else { Vec::new() }
             }
             Body::Report(report) => self.report(now, &frame.node, &report),
+            Body::Ask => vec![Effect::Send(from, Body::Presence(self.presence()))],
             _ => Vec::new(),
         }
     }
@@ -115,11 +119,17 @@
         let started = *self.started.get_or_insert(now);
         let changes = self.agents.tick(now);
         let mut effects = self.agents_changed(now, changes);
-        log_changes(&self.entries.tick(now));
+        let changes = self.entries.tick(now);
+        log_changes(&changes);
+        for change in &changes {
+            if let member::Effect::Doubted(node) = change {
+                effects.extend(ask(self.entries.get(node)));
+            }
+        }
         if self.announced.is_none_or(|last| now.since(last) >= ANNOUNCE_EVERY) {
             effects.extend(self.announce(now));
             if self.known && now.since(started) >= ROLE_AFTER {
-                effects.extend(self.seek_roles());
+                effects.extend(self.seek_roles(now));
             }
         }
         effects.extend(self.push());
@@ -162,9 +172,9 @@
     /// Takes in that this entry holds the planner role of a zone.
     pub fn role_taken(&mut self, now: Time, zone: &Zone, epoch: Epoch) -> Vec<Effect> {
         crate::log!(RoleTaken, "zone {zone}, epoch {epoch}, {}", self.node);
-        let mut role = Role::new(zone.clone(), epoch);
+        let mut role = Role::new(now, zone.clone(), epoch);
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
-            role.put_worker(node, &member.said);
+            role.put_worker(now, node, member.boot, &member.said);
         }
         role.configure(&self.config);
         for (&job, spec) in &self.config.jobs {
@@ -175,14 +185,34 @@
     }
 
     /// Takes in whether an attempt was written to the table.
-    pub fn recorded(&mut self, now: Time, zone: &Zone, task: role::Try, ok: bool) -> Vec<Effect> {
-        let Some(role) = self.roles.get_mut(zone) else {
+    pub fn recorded(
+        &mut self,
+        now: Time,
+        zone: &Zone,
+        epoch: Epoch,
+        task: role::Try,
+        recorded: role::Recorded,
+    ) -> Vec<Effect> {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
             return Vec::new();
         };
-        let effects = role.recorded(now, task, ok);
+        let effects = role.recorded(now, task, recorded);
         self.carry_out(effects)
     }
 
+    /// Takes in whether the planner role of a zone was found to be held under an epoch;
+    /// `None` if the table gave no answer.
+    pub fn role_checked(&mut self, zone: &Zone, epoch: Epoch, asked: Time, held: Option<bool>) {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
+            return;
+        };
+        role.checked(asked, held == Some(true));
+        if held == Some(false) {
+            crate::log!(RoleLost, "zone {zone}, epoch {epoch} is over, {}", self.node);
+            self.roles.remove(zone);
+        }
+    }
+
     /// Takes over a whole configuration that is newer than the one held.
     ///
     /// Planner roles are taken anew, so that they see all jobs.
@@ -213,6 +243,11 @@
         }
     }
 
+    /// Returns the configuration in force.
+    pub fn version(&self) -> Version {
+        self.config.version
+    }
+
     /// Returns the configuration and the records that led to it.
     pub fn held(&self) -> Held<'_> {
         Held { config: &self.config, records: &self.records }
@@ -338,10 +373,10 @@
                     if let Some(member) = self.agents.get(&node)
                         && let Some(role) = self.roles.get_mut(&member.said.place.zone)
                     {
-                        role.put_worker(&node, &member.said);
+                        role.put_worker(now, &node, member.boot, &member.said);
                     }
                 }
-                member::Effect::Lost(node) => {
+                member::Effect::Lost(node) | member::Effect::Left(node) => {
                     for role in self.roles.values_mut() {
                         asked.extend(role.lost(now, &node));
                     }
@@ -351,6 +386,9 @@
                         role.suspected(&node);
                     }
                 }
+                member::Effect::Doubted(node) => {
+                    effects.extend(ask(self.agents.get(&node)));
+                }
                 member::Effect::Recovered(_) => {}
             }
         }
@@ -361,7 +399,7 @@
     /// Returns what a change of the members means to the router.
     fn route_change(&self, change: &member::Effect) -> Option<Effect> {
         match change {
-            member::Effect::Lost(node) => {
+            member::Effect::Lost(node) | member::Effect::Left(node) => {
                 let member = self.agents.get(node)?;
                 Some(Effect::Forget(node.clone(), member.said.address))
             }
@@ -369,6 +407,7 @@
             | member::Effect::Updated(node)
             | member::Effect::Suspected(node)
             | member::Effect::Recovered(node) => self.learn(node),
+            member::Effect::Doubted(_) => None,
         }
     }
 
@@ -420,18 +459,22 @@
     }
 
     /// Asks for the planner role of each zone that falls to this entry.
-    fn seek_roles(&self) -> Vec<Effect> {
-        let mut zones: Vec<&Zone> = Vec::new();
+    fn seek_roles(&mut self, now: Time) -> Vec<Effect> {
+        let mut zones: Vec<Zone> = Vec::new();
         for (_, member) in self.agents.alive() {
             let zone = &member.said.place.zone;
-            if !zones.contains(&zone) && !self.roles.contains_key(zone) {
-                zones.push(zone);
+            if !zones.contains(zone) && !self.roles.contains_key(zone) {
+                zones.push(zone.clone());
             }
         }
-        let entries: Vec<&Node> = self.entries.alive().map(|(node, _)| node).collect();
-        let mine = |zone: &&Zone| role::falls_to(zone, &self.node, &entries);
-        let seek = |zone: &Zone| Effect::Table(Order::TakeRole { zone: zone.clone() });
-        zones.into_iter().filter(mine).map(seek).collect()
+        let stay = || self.entries.alive().filter(|(_, m)| m.said.state == State::Serving);
+        let entries: Vec<&Node> = stay().map(|(node, _)| node).collect();
+        let alive = |node: &Node, boot| stay().any(|(n, m)| n == node && m.boot == boot);
+        zones.retain(|zone| {
+            let mine = role::falls_to(zone, &self.node, &entries);
+            mine && self.seeker.seeks(now, zone, alive)
+        });
+        zones.into_iter().map(|zone| Effect::Table(Order::TakeRole { zone })).collect()
     }
 
     fn carry_out(&self, asked: Vec<role::Effect>) -> Vec<Effect> {
@@ -443,8 +486,11 @@
                         effects.push(Effect::Send(member.address, Body::Command(command)));
                     }
                 }
-                role::Effect::Record { zone, epoch, task } => {
-                    effects.push(Effect::Table(Order::Record { zone, epoch, task }));
+                role::Effect::Check { zone, epoch, asked } => {
+                    effects.push(Effect::Table(Order::CheckRole { zone, epoch, asked }));
+                }
+                role::Effect::Record { zone, epoch, task, nodes } => {
+                    effects.push(Effect::Table(Order::Record { zone, epoch, task, nodes }));
                 }
                 role::Effect::End { job, outcome } => {
                     effects.push(Effect::Table(Order::End { job, outcome }));
@@ -455,6 +501,11 @@
     }
 }
 
+/// Asks a silent member whether it is there.
+fn ask<T>(member: Option<&member::Member<T>>) -> Option<Effect> {
+    member.map(|member| Effect::Send(member.address, Body::Ask))
+}
+
 fn size(update: &Update) -> usize {
     postcard::to_stdvec(update).map_or(usize::MAX, |bytes| bytes.len())
 }
@@ -466,7 +517,8 @@
             member::Effect::Suspected(node) => crate::warn!(MemberSuspected, "{node}"),
             member::Effect::Recovered(node) => crate::log!(MemberRecovered, "{node}"),
             member::Effect::Lost(node) => crate::warn!(MemberLost, "{node}"),
-            member::Effect::Updated(_) => {}
+            member::Effect::Left(node) => crate::log!(MemberLeft, "{node}"),
+            member::Effect::Updated(_) | member::Effect::Doubted(_) => {}
         }
     }
 }
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -36,6 +36,8 @@
     MemberRecovered = 203,
     /// A member is given up.
     MemberLost = 204,
+    /// A member that had said that it leaves is gone.
+    MemberLeft = 205,
     /// A target was chosen for a request.
     Routed = 301,
     /// No target was chosen for a request.
@@ -60,6 +62,10 @@
     Quarantined = 407,
     /// A quarantined worker is used again.
     TakenBack = 408,
+    /// A part of a job has ended at its worker.
+    PartEnded = 409,
+    /// An attempt of an earlier planner was found.
+    AttemptAdopted = 410,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
--- a/persimmondrift/tests/queue_fairness.rs
+++ b/persimmondrift/tests/queue_fairness.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use persimmondrift::gang::LEASE;
 use persimmondrift::member::Capacity;
 use persimmondrift::place::{
     Adjacency, Cause, Class, Effect, Eviction, Outcome, Planner, Policy, Shape, Share, Spec, Wait,
@@ -205,6 +206,7 @@
     planner.released(NOW, Job(1), Attempt(1));
     let rack = Rack::try_from("rack-0").expect("valid");
     planner.put_worker(&node, &rack, CAPACITY, true);
-    assert_eq!(planner.step(later(6)), [], "the lease has not lapsed");
-    assert_eq!(started(&planner.step(later(7))), [Job(1)]);
+    let lapsed = NOW + Duration::from(LEASE);
+    assert_eq!(planner.step(lapsed), [], "the lease has not lapsed");
+    assert_eq!(started(&planner.step(lapsed + Duration::from_secs(1))), [Job(1)]);
 }
