Load a system with open-loop arrivals, and compare runs by ratio

Cause: there was no generic load tool. persimmon-load run draws arrivals (steady, burst, diurnal) from a seed, mixes classes and kinds, switches stand-in faults at set times, and writes CSV and SVG; compare gives the ratios of two runs; log-cost times a log line.

Ruled out: a closed loop, whose senders slow down with the system and hide its waits.

--- /dev/null
+++ b/persimmon-load/src/compare.rs
@@ -0,0 +1,69 @@
+//! Comparison of two runs by ratio.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, bail};
+use lexopt::prelude::Value;
+
+/// Columns whose ratio is shown: number of requests, answered ones, median, 99th percentile.
+const COMPARED: [(usize, &str); 4] =
+    [(1, "requests"), (2, "answered"), (6, "p50_ms"), (7, "p99_ms")];
+
+/// Compares the `classes.csv` files of two runs.
+///
+/// # Errors
+///
+/// Returns an error if the arguments are wrong or a file cannot be read.
+pub fn run(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
+    let mut files: Vec<PathBuf> = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(file) => files.push(file.into()),
+            other => bail!("{}; see --help", other.unexpected()),
+        }
+    }
+    let [before, after] = files.as_slice() else {
+        bail!("give the classes.csv files of two runs");
+    };
+    for (name, ratios) in ratios(before, after)? {
+        let cells: Vec<String> = ratios
+            .iter()
+            .zip(COMPARED)
+            .map(|(ratio, (_, column))| format!("{column} x {ratio:.2}"))
+            .collect();
+        println!("{name:<18} {}", cells.join("  "));
+    }
+    Ok(())
+}
+
+/// Returns the ratios of the second run to the first, by class and kind.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be read.
+pub fn ratios(before: &Path, after: &Path) -> anyhow::Result<BTreeMap<String, Vec<f64>>> {
+    let (before, after) = (read(before)?, read(after)?);
+    let mut ratios = BTreeMap::new();
+    for (name, after) in after {
+        if let Some(before) = before.get(&name) {
+            let ratio = before.iter().zip(after).map(|(before, after)| after / before);
+            ratios.insert(name, ratio.collect());
+        }
+    }
+    Ok(ratios)
+}
+
+fn read(file: &Path) -> anyhow::Result<BTreeMap<String, Vec<f64>>> {
+    let mut rows = BTreeMap::new();
+    for record in csv::Reader::from_path(file)?.records() {
+        let record = record?;
+        let cell = |(column, name): (usize, &str)| -> anyhow::Result<f64> {
+            let text = record.get(column).with_context(|| format!("no column {name}"))?;
+            Ok(text.parse()?)
+        };
+        let values = COMPARED.into_iter().map(cell).collect::<anyhow::Result<Vec<f64>>>()?;
+        rows.insert(record.get(0).unwrap_or_default().to_owned(), values);
+    }
+    Ok(rows)
+}
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::bail;
 use lexopt::Arg;
-use persimmon_load::{alone, demo, spread};
+use persimmon_load::{alone, compare, demo, log_cost, run, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
@@ -10,6 +10,13 @@
   demo     runs the whole path on loopback and ends by itself
   standin  table|target|worker --listen ADDRESS
            runs a stand-in on loopback until it is ended
+  run      open-loop load on a system on loopback; writes CSV and SVG files
+           [--pattern steady|burst|diurnal] [--rate A_SECOND] [--length SPAN] [--seed N]
+           [--entries N] [--workers N] [--service-time SPAN] [--out DIR]
+           [--fault PART:FAULT@BEGIN-END]..., like table:refuse@2s-4s or target0:delay@1s-3s;
+           faults: refuse, fail, lose-answer, pause, delay
+  compare  FILE FILE: ratios of the classes.csv files of two runs
+  log-cost measures what a log line costs the thread that writes it
   spread   measures the time until a configuration is in force everywhere, and what it costs;
            [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
 ";
@@ -27,6 +34,9 @@
     match command.to_str() {
         Some("demo") => demo::run(),
         Some("standin") => alone::run(&mut parser),
+        Some("run") => run::run(&mut parser),
+        Some("compare") => compare::run(&mut parser),
+        Some("log-cost") => log_cost::run(),
         Some("spread") => spread::run(parser),
         _ => bail!("{} is no command; see --help", command.display()),
     }
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+#[doc(hidden)]
+pub use ::spdlog;
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal,)+) => {
         /// A numbered event.
@@ -99,7 +102,7 @@
 macro_rules! log {
     ($event:ident, $($text:tt)+) => {{
         $crate::metric::event($crate::event::Event::$event);
-        ::spdlog::info!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
+        $crate::event::spdlog::info!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
     }};
 }
 
@@ -108,6 +111,6 @@
 macro_rules! warn {
     ($event:ident, $($text:tt)+) => {{
         $crate::metric::event($crate::event::Event::$event);
-        ::spdlog::warn!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
+        $crate::event::spdlog::warn!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
     }};
 }
