--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -114,7 +114,12 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn entry_settings(
+/// Returns the settings of an entry.
+///
+/// # Errors
+///
+/// Returns an error if a name is not valid.
+pub fn entry_settings(
     layout: &Layout,
     index: usize,
     entries: Vec<SocketAddr>,
--- a/persimmon-load/src/spread.rs
+++ b/persimmon-load/src/spread.rs
@@ -125,9 +125,11 @@
         entry.received,
         entry.core,
     );
-    for agent in system.agents {
-        agent.stop();
-    }
+    thread::scope(|scope| {
+        for agent in system.agents {
+            scope.spawn(|| agent.stop());
+        }
+    });
     system.bench.stop();
     Ok(())
 }
--- /dev/null
+++ b/persimmon-load/tests/table_outage.rs
@@ -0,0 +1,97 @@
+//! The table service is away: what goes on, what is refused, and who serves which version.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use persimmon_load::bench::{Bench, Layout, TOKEN, entry_settings};
+use persimmon_load::demo::{intend_quietly, status};
+use persimmondrift::config::{Change, Serving};
+use persimmondrift::entry;
+use persimmondrift::unit::Version;
+use standin::fault::Fault;
+
+/// Time after which something that has to happen counts as missing.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn change(timeout_ms: u64) -> Vec<Change> {
+    let service = "taller-app".parse().expect("valid");
+    vec![Change::PutService { service, serving: Serving { timeout_ms } }]
+}
+
+fn post(operator: SocketAddr, path: &str, body: &[u8]) -> (u16, serde_json::Value) {
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let url = format!("http://{operator}{path}");
+    let header = format!("Bearer {TOKEN}");
+    let sent = ureq::Agent::new_with_config(config).post(&url).header("Authorization", header);
+    let mut response = sent.send(body).expect("an answer");
+    let body = response.body_mut().read_to_vec().expect("a body");
+    (response.status().as_u16(), serde_json::from_slice(&body).expect("JSON"))
+}
+
+fn wait(what: &str, holds: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < LIMIT, "{what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn nothing_reverts_while_the_table_is_away() {
+    let layout = Layout {
+        service: "taller-app".parse().expect("valid"),
+        regions: vec!["sac-a".parse().expect("valid")],
+        entries: 2,
+        workers: 1,
+        service_time: Duration::ZERO,
+    };
+    let mut bench = Bench::start(&layout).expect("a system");
+    let operator = bench.entries[0].operators();
+    for timeout in 1..=3 {
+        intend_quietly(operator, &change(timeout)).expect("accepted");
+    }
+    wait("both entries are at version 3", || {
+        bench.entries.iter().all(|entry| entry.version() == Version(3))
+    });
+
+    // A new process asks its neighbours, and serves no older version than theirs.
+    bench.table.switch.set(Some(Fault::Refuse));
+    let known = bench.entries.iter().map(entry::Handle::address).collect();
+    let services = (bench.table.url(), bench.objects.url());
+    let settings = entry_settings(&layout, 2, known, services).expect("settings");
+    let late = entry::start(settings).expect("an entry");
+    assert_eq!(late.version(), Version(3), "the new process serves an older version");
+
+    // A plan is made, its confirmation is refused, and the answer says what is known.
+    let (code, planned) = post(operator, "/v1/plans", &json(&change(9)));
+    assert_eq!(code, 200, "{planned}");
+    let draft = &planned["planned"];
+    let path = format!("/v1/plans/{}/confirm", draft["plan"]);
+    let (code, told) = post(operator, &path, draft.to_string().as_bytes());
+    let error = told["error"].as_str().unwrap_or_default();
+    assert_eq!(code, 503, "{told}");
+    assert!(error.starts_with("nothing was accepted"), "{error}");
+    assert_eq!(status(operator).expect("a status").config.version, Version(3));
+
+    // The answer of a write is lost: the same plan is confirmed again at another entry.
+    bench.table.switch.set(None);
+    bench.table.switch.script([None, Some(Fault::LoseAnswer)]);
+    let other = late.operators();
+    let (code, told) = post(operator, &path, draft.to_string().as_bytes());
+    assert!(code == 200 || code == 504, "{told}");
+    let (code, again) = post(other, &path, draft.to_string().as_bytes());
+    assert_eq!((code, &again["confirmed"]), (200, &serde_json::json!(4)), "{again}");
+    let (code, twice) = post(operator, &path, draft.to_string().as_bytes());
+    assert_eq!((code, &twice["confirmed"]), (200, &serde_json::json!(4)), "{twice}");
+    bench.entries.push(late);
+    wait("everybody is at version 4", || {
+        let entries = bench.entries.iter().all(|entry| entry.version() == Version(4));
+        entries && bench.seats.iter().all(|seat| seat.agent.version() == Version(4))
+    });
+    bench.stop();
+}
+
+fn json(changes: &[Change]) -> Vec<u8> {
+    serde_json::to_vec(changes).expect("encoded")
+}
