Let idle agents beat instead of repeating their report

Cause: an idle agent sent its whole report of 133 bytes each second to every entry, and a push repeated the changes of eight versions, also where a later one replaced an earlier one. Ruled out: reports without numbers, since an entry could not tell that it missed one; a new number for each answer to a question, since every entry would then ask in turn without end. Conclusion: an entry that has the last report takes a beat as a sign of life; others ask.

--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -8,7 +8,10 @@
 use crate::admit::{Gate, Limit};
 use crate::config::{Config, Update};
 use crate::gang::{Action, Holder, Phase, Task};
-use crate::member::{ANNOUNCE_EVERY, Announce, IDLE_EVERY, Judgement, Load, Presence, State, View};
+use crate::member::{
+    ANNOUNCE_ALL_EVERY, ANNOUNCE_EVERY, Announce, IDLE_EVERY, Judgement, Load, Presence, State,
+    View,
+};
 use crate::place::Class;
 use crate::settings;
 use crate::unit::{Millis, Node, Time, Version};
@@ -32,6 +35,8 @@
     announce: Announce,
     seeds: Vec<SocketAddr>,
     announced: Option<Time>,
+    /// When the last whole report was announced.
+    told: Option<Time>,
     entries: View<Presence>,
     config: Config,
     /// Whether an entry told the configuration since the start.
@@ -63,6 +68,7 @@
             },
             seeds: settings.entries.clone(),
             announced: None,
+            told: None,
             entries: View::default(),
             config: Config::default(),
             configured: false,
@@ -145,8 +151,11 @@
                 Vec::new()
             }
             Body::Ask => {
-                let announce = self.report(now);
-                vec![Effect::Send(from, Body::Announce(announce))]
+                // The report keeps its number, so that the other entries still know it.
+                if self.has_news() || self.announced.is_none() {
+                    return self.announce(now);
+                }
+                vec![Effect::Send(from, Body::Announce(self.announce.clone()))]
             }
             Body::Command(command) => {
                 self.planners.insert(frame.node, from);
@@ -227,15 +236,28 @@
         self.entries.tick(now);
         let pause = if self.has_news() { ANNOUNCE_EVERY } else { IDLE_EVERY };
         if self.announced.is_none_or(|last| now.since(last) >= pause) {
-            effects.extend(self.announce(now));
+            effects.extend(self.speak(now));
         }
         effects
     }
 
+    /// Announces what is new, or that nothing is; now and then everything.
+    fn speak(&mut self, now: Time) -> Vec<Effect> {
+        let long_ago = self.told.is_none_or(|last| now.since(last) >= ANNOUNCE_ALL_EVERY);
+        if long_ago || self.announced.is_none() || self.has_news() {
+            return self.announce(now);
+        }
+        self.announced = Some(now);
+        let beat = Body::Beat(self.announce.load.number);
+        self.audience().into_iter().map(|to| Effect::Send(to, beat.clone())).collect()
+    }
+
     /// Returns whether there is anything to say that was not announced.
     fn has_news(&self) -> bool {
+        let told = &self.announce.load;
         self.gate.running() > 0
             || self.gate.waiting() > 0
+            || told.running + told.waiting > 0
             || self.announce.version != self.config.version
             || self.announce.tasks != self.holder.holdings()
     }
@@ -251,6 +273,13 @@
     fn announce(&mut self, now: Time) -> Vec<Effect> {
         self.announced = Some(now);
         let report = self.report(now);
+        self.told = Some(now);
+        let send = |to| Effect::Send(to, Body::Announce(report.clone()));
+        self.audience().into_iter().map(send).collect()
+    }
+
+    /// Returns the addresses of the entries.
+    fn audience(&self) -> Vec<SocketAddr> {
         let mut addresses = self.seeds.clone();
         // Entries are heard of seldom: one that was missed once is still told.
         let known = self.entries.iter().filter(|(_, m)| m.judgement != Judgement::Dead);
@@ -259,8 +288,7 @@
                 addresses.push(member.address);
             }
         }
-        let send = |to| Effect::Send(to, Body::Announce(report.clone()));
-        addresses.into_iter().map(send).collect()
+        addresses
     }
 
     /// Returns what there is to announce now.
--- a/persimmondrift/src/config/update.rs
+++ b/persimmondrift/src/config/update.rs
@@ -1,6 +1,6 @@
 //! What one process sends another that is behind: records, changes or a whole configuration.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -50,18 +50,24 @@
     let Some(later) = later(config, records, after) else {
         return Update::Whole(Box::new(config.without_jobs()));
     };
-    let concerning = |record: &Record| {
-        let changes = record.changes.iter().filter(|change| change.concerns_agents());
-        changes.cloned().collect::<Vec<Change>>()
-    };
     let mut changes = Vec::new();
     for record in later {
-        changes.extend(concerning(record));
+        let concerning = record.changes.iter().filter(|change| change.concerns_agents());
+        changes.extend(concerning.cloned());
         if changes.len() >= PAGE {
-            return Update::Changes { base, version: record.version, changes };
+            return Update::Changes { base, version: record.version, changes: last_each(changes) };
         }
     }
-    Update::Changes { base, version, changes }
+    Update::Changes { base, version, changes: last_each(changes) }
+}
+
+/// Keeps the last change of each item: it alone decides.
+fn last_each(changes: Vec<Change>) -> Vec<Change> {
+    let mut seen = BTreeSet::new();
+    let mut kept: Vec<Change> =
+        changes.into_iter().rev().filter(|change| seen.insert(change.item())).collect();
+    kept.reverse();
+    kept
 }
 
 /// Returns the records after a version, if none is missing.
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -16,13 +16,13 @@
 use crate::place::{Eviction, Host};
 use crate::route::Facts;
 use crate::settings;
-use crate::unit::{Epoch, Node, Plan, Time, Version, Zone};
+use crate::unit::{Boot, Epoch, Node, Plan, Sequence, Time, Version, Zone};
 use crate::wire::{Body, Frame};
 
 /// Plans that are kept until they are confirmed.
 const DRAFTS: usize = 256;
 /// Versions of the past that each push repeats, for those who missed one.
-const PUSH_BACK: u64 = 8;
+const PUSH_BACK: u64 = 3;
 /// Times that a push is sent again.
 const PUSH_REPEATS: u32 = 2;
 /// Pause before a push is sent again. By then agents have announced that they took it.
@@ -111,6 +111,7 @@
                 }
                 effects
             }
+            Body::Beat(number) => self.beat(now, from, source, number),
             Body::Presence(presence) if frame.node != self.node => {
                 let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
@@ -123,6 +124,25 @@
         }
     }
 
+    /// Takes in that an agent has nothing new to say since a report. One whose report was lost
+    /// is asked for it.
+    fn beat(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        source: (&Node, Boot, Sequence),
+        number: u64,
+    ) -> Vec<Effect> {
+        let said = self.agents.get(source.0).map(|member| member.said.load.number);
+        if said != Some(number) {
+            return vec![Effect::Send(from, Body::Ask)];
+        }
+        match self.agents.touch(now, source) {
+            Some(changes) => self.agents_changed(now, changes),
+            None => vec![Effect::Send(from, Body::Ask)],
+        }
+    }
+
     /// Judges silent members, announces, and drives the attempts.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         let started = *self.started.get_or_insert(now);
--- a/persimmondrift/src/member.rs
+++ b/persimmondrift/src/member.rs
@@ -32,6 +32,8 @@
 pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 /// Pause between two announcements of a member that has nothing new to say.
 pub const IDLE_EVERY: Duration = Duration::from_secs(1);
+/// Pause between two whole reports of a member that has nothing new to say.
+pub const ANNOUNCE_ALL_EVERY: Duration = Duration::from_secs(10);
 /// Pause between two presences of an entry that an agent gets.
 pub const PRESENCE_EVERY: Duration = Duration::from_secs(2);
 
--- a/persimmondrift/src/member/view.rs
+++ b/persimmondrift/src/member/view.rs
@@ -114,6 +114,28 @@
         }
     }
 
+    /// Takes in that a member is there and has nothing new to say.
+    ///
+    /// Returns nothing if it has to say everything anew: this start of it is not known.
+    pub fn touch(
+        &mut self,
+        now: Time,
+        (node, boot, sequence): (&Node, Boot, Sequence),
+    ) -> Option<Vec<Effect>> {
+        let member = self.members.get_mut(node).filter(|member| member.boot == boot)?;
+        if member.judgement == Judgement::Dead {
+            return None;
+        }
+        if sequence <= member.sequence {
+            return Some(Vec::new());
+        }
+        member.sequence = sequence;
+        member.heard = now;
+        let was = std::mem::replace(&mut member.judgement, Judgement::Alive);
+        let recovered = was == Judgement::Suspect;
+        Some(if recovered { vec![Effect::Recovered(node.clone())] } else { Vec::new() })
+    }
+
     /// Judges the silent members, and forgets those that are dead for long.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         if self.looked.is_some_and(|last| now.since(last) > LOOK_GAP) {
--- a/persimmondrift/tests/member_liveness.rs
+++ b/persimmondrift/tests/member_liveness.rs
@@ -189,3 +189,24 @@
     assert!(alarms <= 20, "{alarms} false alarms");
     assert!(slowest <= SUSPECT_AFTER + LOOK, "{slowest:?} until no new work");
 }
+
+#[test]
+fn beats_stand_for_the_last_report() {
+    let mut watch = Watch::new();
+    let beat = |watch: &mut Watch, boot, sequence| {
+        watch.view.touch(watch.now, (&node(), Boot(boot), Sequence(sequence)))
+    };
+    assert_eq!(beat(&mut watch, 10, 1), None, "nothing is known of it");
+    watch.hear(10, 2, serving(7));
+    for sequence in 3..20 {
+        assert_eq!(watch.wait(Duration::from_secs(1)), []);
+        assert_eq!(beat(&mut watch, 10, sequence), Some(vec![]));
+    }
+    assert_eq!(watch.said(), (Boot(10), serving(7)));
+    watch.wait(SUSPECT_AFTER);
+    assert_eq!(beat(&mut watch, 10, 3), Some(vec![]), "an old beat is no sign of life");
+    assert_eq!(beat(&mut watch, 10, 20), Some(vec![Effect::Recovered(node())]));
+    assert_eq!(beat(&mut watch, 11, 1), None, "another start has to say everything");
+    watch.wait(DEAD_AFTER);
+    assert_eq!(beat(&mut watch, 10, 21), None, "what it held was given up");
+}
