Announce a new version by a beat, and write down the slice

Cause: each change of the configuration made every agent send its whole report to every entry. Ruled out: no word of the version until the next report, since pushes are repeated to those that have not announced it. Whether an agent takes new work stays a reason for a whole report. Conclusion: only what is new goes out.

--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -9,8 +9,8 @@
 use crate::config::{Config, Update};
 use crate::gang::{Action, Holder, Phase, Task};
 use crate::member::{
-    ANNOUNCE_ALL_EVERY, ANNOUNCE_EVERY, Announce, IDLE_EVERY, Judgement, Load, Presence, State,
-    View,
+    ANNOUNCE_ALL_EVERY, ANNOUNCE_EVERY, Announce, Beat, IDLE_EVERY, Judgement, Load, Presence,
+    State, View,
 };
 use crate::place::Class;
 use crate::settings;
@@ -37,6 +37,8 @@
     announced: Option<Time>,
     /// When the last whole report was announced.
     told: Option<Time>,
+    /// Whether that report said that it takes new work.
+    told_state: State,
     entries: View<Presence>,
     config: Config,
     /// Whether an entry told the configuration since the start.
@@ -69,6 +71,7 @@
             seeds: settings.entries.clone(),
             announced: None,
             told: None,
+            told_state: State::Leaving,
             entries: View::default(),
             config: Config::default(),
             configured: false,
@@ -234,7 +237,8 @@
         let actions = self.holder.tick(now);
         let mut effects = self.act(actions);
         self.entries.tick(now);
-        let pause = if self.has_news() { ANNOUNCE_EVERY } else { IDLE_EVERY };
+        let taken = self.announce.version != self.config.version;
+        let pause = if taken || self.has_news() { ANNOUNCE_EVERY } else { IDLE_EVERY };
         if self.announced.is_none_or(|last| now.since(last) >= pause) {
             effects.extend(self.speak(now));
         }
@@ -248,7 +252,9 @@
             return self.announce(now);
         }
         self.announced = Some(now);
-        let beat = Body::Beat(self.announce.load.number);
+        self.announce.version = self.config.version;
+        let (number, version) = (self.announce.load.number, self.announce.version);
+        let beat = Body::Beat(Beat { number, version });
         self.audience().into_iter().map(|to| Effect::Send(to, beat.clone())).collect()
     }
 
@@ -258,7 +264,7 @@
         self.gate.running() > 0
             || self.gate.waiting() > 0
             || told.running + told.waiting > 0
-            || self.announce.version != self.config.version
+            || self.told_state != self.announce.state
             || self.announce.tasks != self.holder.holdings()
     }
 
@@ -274,6 +280,7 @@
         self.announced = Some(now);
         let report = self.report(now);
         self.told = Some(now);
+        self.told_state = report.state;
         let send = |to| Effect::Send(to, Body::Announce(report.clone()));
         self.audience().into_iter().map(send).collect()
     }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -11,7 +11,7 @@
 use crate::intent::{self, Busy, Draft};
 use crate::journal::Held;
 use crate::member::{
-    self, ANNOUNCE_EVERY, Announce, Judgement, PRESENCE_EVERY, Place, Presence, State, View,
+    self, ANNOUNCE_EVERY, Announce, Beat, Judgement, PRESENCE_EVERY, Place, Presence, State, View,
 };
 use crate::place::{Eviction, Host};
 use crate::route::Facts;
@@ -111,7 +111,7 @@
                 }
                 effects
             }
-            Body::Beat(number) => self.beat(now, from, source, number),
+            Body::Beat(beat) => self.beat(now, from, source, beat),
             Body::Presence(presence) if frame.node != self.node => {
                 let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
@@ -131,13 +131,13 @@
         now: Time,
         from: SocketAddr,
         source: (&Node, Boot, Sequence),
-        number: u64,
+        beat: Beat,
     ) -> Vec<Effect> {
         let said = self.agents.get(source.0).map(|member| member.said.load.number);
-        if said != Some(number) {
+        if said != Some(beat.number) {
             return vec![Effect::Send(from, Body::Ask)];
         }
-        match self.agents.touch(now, source) {
+        match self.agents.touch(now, source, |said| said.version = beat.version) {
             Some(changes) => self.agents_changed(now, changes),
             None => vec![Effect::Send(from, Body::Ask)],
         }
--- a/persimmondrift/src/member.rs
+++ b/persimmondrift/src/member.rs
@@ -108,6 +108,15 @@
     pub tasks: Vec<gang::Holding>,
 }
 
+/// What an agent tells the entries when nothing else is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The number of its last report.
+    pub number: u64,
+    /// The configuration in force there.
+    pub version: Version,
+}
+
 /// What an entry tells other entries and the agents.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
--- a/persimmondrift/src/member/view.rs
+++ b/persimmondrift/src/member/view.rs
@@ -114,13 +114,14 @@
         }
     }
 
-    /// Takes in that a member is there and has nothing new to say.
+    /// Takes in that a member is there, and changes a little of what it said.
     ///
     /// Returns nothing if it has to say everything anew: this start of it is not known.
     pub fn touch(
         &mut self,
         now: Time,
         (node, boot, sequence): (&Node, Boot, Sequence),
+        change: impl FnOnce(&mut T),
     ) -> Option<Vec<Effect>> {
         let member = self.members.get_mut(node).filter(|member| member.boot == boot)?;
         if member.judgement == Judgement::Dead {
@@ -131,6 +132,7 @@
         }
         member.sequence = sequence;
         member.heard = now;
+        change(&mut member.said);
         let was = std::mem::replace(&mut member.judgement, Judgement::Alive);
         let recovered = was == Judgement::Suspect;
         Some(if recovered { vec![Effect::Recovered(node.clone())] } else { Vec::new() })
--- a/persimmondrift/src/wire.rs
+++ b/persimmondrift/src/wire.rs
@@ -50,8 +50,8 @@
     Announce(member::Announce),
     /// Entry to entry and agent: that it is there, and its configuration.
     Presence(member::Presence),
-    /// Agent to entry: nothing is new since the report of this number.
-    Beat(u64),
+    /// Agent to entry: nothing but the version is new since a report.
+    Beat(member::Beat),
     /// Any to any: say at once that you are there.
     Ask,
     /// Planner to agent: what to do with a part of a job.
--- a/persimmondrift/tests/member_liveness.rs
+++ b/persimmondrift/tests/member_liveness.rs
@@ -194,7 +194,8 @@
 fn beats_stand_for_the_last_report() {
     let mut watch = Watch::new();
     let beat = |watch: &mut Watch, boot, sequence| {
-        watch.view.touch(watch.now, (&node(), Boot(boot), Sequence(sequence)))
+        let source = (&node(), Boot(boot), Sequence(sequence));
+        watch.view.touch(watch.now, source, |word| word.1 += 1)
     };
     assert_eq!(beat(&mut watch, 10, 1), None, "nothing is known of it");
     watch.hear(10, 2, serving(7));
@@ -202,7 +203,7 @@
         assert_eq!(watch.wait(Duration::from_secs(1)), []);
         assert_eq!(beat(&mut watch, 10, sequence), Some(vec![]));
     }
-    assert_eq!(watch.said(), (Boot(10), serving(7)));
+    assert_eq!(watch.said(), (Boot(10), serving(24)));
     watch.wait(SUSPECT_AFTER);
     assert_eq!(beat(&mut watch, 10, 3), Some(vec![]), "an old beat is no sign of life");
     assert_eq!(beat(&mut watch, 10, 20), Some(vec![Effect::Recovered(node())]));
