--- a/persimmondrift/src/daemon.rs
+++ b/persimmondrift/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{io, panic, thread};
 
 use serde::de::DeserializeOwned;
@@ -22,6 +22,8 @@
 pub const EXIT_SETTINGS: u8 = 2;
 /// Exit code when a thread of the process ended by a panic.
 pub const EXIT_PANIC: u8 = 3;
+/// Exit code when a planned stop took longer than the settings allow.
+pub const EXIT_CUT: u8 = 4;
 
 /// Reports why a daemon does not run.
 #[derive(Debug, thiserror::Error)]
@@ -54,12 +56,12 @@
 ///
 /// `process` picks the common settings, `start` starts it, `failed` tells whether one of its
 /// threads has ended, and `stop` carries out the planned stop.
-pub fn run<S: DeserializeOwned, H>(
+pub fn run<S: DeserializeOwned, H: Send + 'static>(
     name: &str,
     process: impl Fn(&S) -> Process,
     start: impl FnOnce(S) -> io::Result<H>,
     failed: impl Fn(&H) -> bool,
-    stop: impl FnOnce(H, &Process),
+    stop: impl FnOnce(H, &Process) + Send + 'static,
 ) -> ExitCode {
     let result = read_arguments().and_then(|ask| match ask {
         Ask::Help => {
@@ -107,6 +109,7 @@
   {EXIT_START}  the process could not start, or a second signal ended it
   {EXIT_SETTINGS}  the arguments or the settings are refused
   {EXIT_PANIC}  a thread ended by a panic
+  {EXIT_CUT}  the planned stop took longer than `notice` and `drain` allow
 "
     )
 }
@@ -128,11 +131,11 @@
 }
 
 /// Starts, waits for a signal or a panic, and stops.
-fn serve<H>(
+fn serve<H: Send + 'static>(
     process: &Process,
     start: impl FnOnce() -> io::Result<H>,
     failed: impl Fn(&H) -> bool,
-    stop: impl FnOnce(H, &Process),
+    stop: impl FnOnce(H, &Process) + Send + 'static,
 ) -> Result<ExitCode, Error> {
     let asked = Arc::new(AtomicBool::new(false));
     for signal in [SIGTERM, SIGINT] {
@@ -149,9 +152,20 @@
         }
         thread::sleep(POLL);
     }
-    stop(handle, process);
+    let limit = process.notice.0 + process.drain.0;
+    let stopping = process.clone();
+    let stopper = thread::spawn(move || stop(handle, &stopping));
+    let begin = Instant::now();
+    while !stopper.is_finished() {
+        if begin.elapsed() >= limit {
+            return Ok(ExitCode::from(EXIT_CUT));
+        }
+        thread::sleep(POLL);
+    }
     Ok(if panicked.load(Ordering::Relaxed) {
         ExitCode::from(EXIT_PANIC)
+    } else if begin.elapsed() >= process.drain.0 {
+        ExitCode::from(EXIT_CUT)
     } else {
         ExitCode::SUCCESS
     })
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -1,11 +1,12 @@
 //! The entry process: callers' requests, operators' intents, and the planner role of zones.
 
 mod core;
+mod lease;
 mod log;
 mod operate;
 mod pool;
 mod request;
-mod role;
+pub mod role;
 mod router;
 mod table;
 mod watched;
--- a/persimmondrift/src/entry/operate.rs
+++ b/persimmondrift/src/entry/operate.rs
@@ -2,13 +2,14 @@
 
 use std::sync::mpsc;
 
+use super::role::Role;
 use super::{Shared, log};
-use crate::adapter::operator::{Agent, Ask, Refusal, Status, Told};
+use crate::adapter::operator::{Agent, Ask, Explained, Refusal, Status, Told};
 use crate::config::Change;
 use crate::intent::{self, Draft};
 use crate::journal::{self, Append, Ticket};
 use crate::member::State;
-use crate::unit::{Operator, Plan, Version};
+use crate::unit::{Job, Operator, Plan, Version, Zone};
 
 /// Answers an operator's call.
 ///
@@ -21,6 +22,7 @@
         Ask::Confirm { plan, draft, operator } => {
             confirm(shared, plan, draft, &operator).map(Told::Confirmed)
         }
+        Ask::Explain(job) => Ok(Told::Explained(Box::new(explain(shared, job)))),
         Ask::Status => Ok(Told::Status(Box::new(status(shared)))),
     }
 }
@@ -58,6 +60,18 @@
     Ok(version)
 }
 
+fn explain(shared: &Shared, job: Job) -> Explained {
+    let now = shared.now();
+    let core = shared.core();
+    let known = |(zone, role): (&Zone, &Role)| Some((zone.clone(), role.explain(now, job)?));
+    Explained {
+        job,
+        outcome: core.config.ended.iter().find(|(ended, _)| *ended == job).map(|(_, how)| *how),
+        spec: core.config.jobs.get(&job).cloned(),
+        zones: core.roles.iter().filter_map(known).collect(),
+    }
+}
+
 fn status(shared: &Shared) -> Status {
     let core = shared.core();
     let mut agents = Vec::new();
--- a/persimmondrift/src/entry/table.rs
+++ b/persimmondrift/src/entry/table.rs
@@ -4,13 +4,11 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use super::role::Try;
-use super::{Shared, log};
+use super::{Shared, lease, log};
 use crate::place::Outcome;
-use crate::store::{self, Error, Row, Write};
-use crate::unit::{Attempt, Epoch, Job, Mutation, Node, Version, Zone};
+use crate::store::Error;
+use crate::unit::{Epoch, Job, Mutation, Node, Time, Zone};
 
 /// Longest pause between two looks whether the process stops.
 const POLL: Duration = Duration::from_millis(250);
@@ -31,6 +29,17 @@
         epoch: Epoch,
         /// The attempt.
         task: Try,
+        /// The nodes of its parts.
+        nodes: Vec<Node>,
+    },
+    /// Reads whether the planner role of a zone is still held under an epoch.
+    CheckRole {
+        /// The zone.
+        zone: Zone,
+        /// The epoch.
+        epoch: Epoch,
+        /// When it was asked for.
+        asked: Time,
     },
     /// Writes how a job ended.
     End {
@@ -41,20 +50,6 @@
     },
 }
 
-/// The row of a zone's planner role.
-#[derive(Debug, Serialize, Deserialize)]
-struct Lease {
-    holder: Node,
-    epoch: Epoch,
-}
-
-/// The row of a job's attempts.
-#[derive(Debug, Serialize, Deserialize)]
-struct Tried {
-    attempt: Attempt,
-    epoch: Epoch,
-}
-
 /// Carries out the orders until the process stops.
 pub fn run(shared: &Arc<Shared>, orders: &Receiver<Order>) {
     let mut failed = false;
@@ -78,14 +73,10 @@
 
 fn carry_out(shared: &Shared, order: Order) -> Result<(), Error> {
     match order {
-        Order::TakeRole { zone } => take_role(shared, &zone),
-        Order::Record { zone, epoch, task } => {
-            let written = record(shared, epoch, task);
-            let now = shared.now();
-            let ok = matches!(written, Ok(true));
-            let effects = shared.core().recorded(now, &zone, task, ok);
-            shared.perform(effects);
-            written.map(|_| ())
+        Order::TakeRole { zone } => lease::take_role(shared, &zone),
+        Order::CheckRole { zone, epoch, asked } => lease::check_role(shared, &zone, epoch, asked),
+        Order::Record { zone, epoch, task, nodes } => {
+            lease::record(shared, &zone, epoch, task, nodes)
         }
         Order::End { job, outcome } => {
             let _ = shared.log.send(log::Order::End(job, outcome));
@@ -98,45 +89,3 @@
 pub fn mutation(shared: &Shared) -> Mutation {
     Mutation(shared.random().u64(1..))
 }
-
-fn take_role(shared: &Shared, zone: &Zone) -> Result<(), Error> {
-    let key = format!("lease/{zone}");
-    let row = (shared.table.calls.read)(&key)?;
-    let (expected, epoch) = match &row {
-        Some(row) => (row.version, lease_of(row)?.epoch.next()),
-        None => (Version(0), Epoch(1)),
-    };
-    let lease = Lease { holder: shared.settings.node.clone(), epoch };
-    let value = serde_json::to_value(lease).map_err(|_| Error::Malformed)?;
-    let write = Write { key, expected, mutation: mutation(shared), value };
-    if store::commit(&shared.table.calls, &[write])? == store::Outcome::Applied {
-        let now = shared.now();
-        let effects = shared.core().role_taken(now, zone, epoch);
-        shared.perform(effects);
-    }
-    Ok(())
-}
-
-fn lease_of(row: &Row) -> Result<Lease, Error> {
-    serde_json::from_value(row.value.clone()).map_err(|_| Error::Malformed)
-}
-
-/// Writes an attempt; refused if the same or a later attempt stands there already.
-fn record(shared: &Shared, epoch: Epoch, task: Try) -> Result<bool, Error> {
-    let key = format!("attempt/{:020}", task.job.0);
-    let row = (shared.table.calls.read)(&key)?;
-    let (expected, last) = match row {
-        None => (Version(0), Attempt(0)),
-        Some(row) => {
-            let tried: Tried = serde_json::from_value(row.value).map_err(|_| Error::Malformed)?;
-            (row.version, tried.attempt)
-        }
-    };
-    if last >= task.attempt {
-        return Ok(false);
-    }
-    let tried = Tried { attempt: task.attempt, epoch };
-    let value = serde_json::to_value(tried).map_err(|_| Error::Malformed)?;
-    let write = Write { key, expected, mutation: mutation(shared), value };
-    Ok(store::commit(&shared.table.calls, &[write])? == store::Outcome::Applied)
-}
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -62,6 +62,10 @@
     Quarantined = 407,
     /// A quarantined worker is used again.
     TakenBack = 408,
+    /// A part of a job has ended at its worker.
+    PartEnded = 409,
+    /// An attempt of an earlier planner was found.
+    AttemptAdopted = 410,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -54,11 +54,19 @@
     ///
     /// Returns the error of the socket.
     pub fn start() -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts a worker without parts at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start_at(listen: SocketAddr) -> std::io::Result<Self> {
         let runs = Arc::new(Mutex::new(Runs::new()));
         let switch = Switch::default();
         let (shared, faults) = (Arc::clone(&runs), switch.clone());
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let http = Http::start(any, THREADS, move |request| {
+        let http = Http::start(listen, THREADS, move |request| {
             faults.apply(|| {
                 answer(&mut lock(&shared), request).unwrap_or_else(|error| malformed(&error))
             })
@@ -144,15 +152,16 @@
         }
         "/tasks/stop" => {
             let task: Task = serde_json::from_slice(&body)?;
-            if let Some(run) = runs.get_mut(&task)
-                && run.state() == State::Running
-            {
+            let unknown = Run { mask: 0, began: now, ends: now, lease: now, stopped: true };
+            let run = runs.entry(task).or_insert(unknown);
+            if run.state() == State::Running {
                 run.stopped = true;
             }
             Ok(Response::text("stopped"))
         }
         "/tasks/list" => {
-            let listed = |(&task, run): (&Task, &Run)| Listed { task, state: run.state() };
+            let listed =
+                |(&task, run): (&Task, &Run)| Listed { task, mask: run.mask, state: run.state() };
             Ok(Response::json(&runs.iter().map(listed).collect::<Vec<_>>()))
         }
         _ => Ok(Response::empty_404()),
