--- /dev/null
+++ b/persimmon-load/src/replay.rs
@@ -0,0 +1,76 @@
+//! Replay of seeded job lists through the planner in virtual time, against two baselines.
+
+mod baseline;
+mod cost;
+mod figures;
+mod list;
+mod run;
+
+use anyhow::ensure;
+use persimmondrift::place::Policy;
+
+pub use cost::run as planner_cost;
+use figures::{Figures, Ratio};
+use list::{Deployment, List};
+use run::{Scheduler, replay};
+
+/// Seeds of the lists that weights are tuned on.
+const TUNING: std::ops::Range<u64> = 1..21;
+/// Seeds of the lists that weights are judged on.
+const HELD_OUT: std::ops::Range<u64> = 101..121;
+/// Time in which a claim must start, in seconds.
+const CLAIM_SECONDS: f64 = 6.1;
+
+/// Runs the lists of both deployments and prints the figures.
+///
+/// # Errors
+///
+/// Returns an error if a claim was not honoured in time.
+pub fn run(tuning: bool, policy: Option<&Policy>) -> anyhow::Result<()> {
+    let seeds = if tuning { TUNING } else { HELD_OUT };
+    let mut late = 0;
+    for deployment in [Deployment::Soplo, Deployment::Kleenline] {
+        println!(
+            "## {deployment:?}, {} lists, seeds {} to {}",
+            seeds.end - seeds.start,
+            seeds.start,
+            seeds.end - 1
+        );
+        println!();
+        let lists: Vec<List> = seeds.clone().map(|seed| List::new(deployment, seed)).collect();
+        let all = |scheduler: &dyn Fn() -> Scheduler| {
+            Figures::of(lists.iter().map(|list| replay(list, scheduler())))
+        };
+        let fifo = all(&|| Scheduler::baseline(true));
+        let backfill = all(&|| Scheduler::baseline(false));
+        if let Some(policy) = policy {
+            let figures = all(&|| Scheduler::planner(policy.clone()));
+            figures::print(&[("FIFO first-fit", &fifo), ("planner, as given", &figures)]);
+            figures::compare("as given", &figures, &fifo, &backfill);
+            continue;
+        }
+        let completion = all(&|| Scheduler::planner(Policy::completion()));
+        let fragmentation = all(&|| Scheduler::planner(Policy::fragmentation()));
+        let rows = [
+            ("FIFO first-fit", &fifo),
+            ("plain backfill", &backfill),
+            ("planner, completion", &completion),
+            ("planner, fragmentation", &fragmentation),
+        ];
+        figures::print(&rows);
+        for (name, figures) in &rows[2..] {
+            figures::compare(name, figures, &fifo, &backfill);
+            late += figures.late(CLAIM_SECONDS);
+        }
+        println!();
+    }
+    ensure!(late == 0, "{late} claims did not start within {CLAIM_SECONDS} s");
+    Ok(())
+}
+
+impl Ratio {
+    /// Returns a mark that tells whether a target is met.
+    fn verdict(&self) -> &'static str {
+        if self.value <= self.target { "met" } else { "not met" }
+    }
+}
--- /dev/null
+++ b/persimmon-load/src/replay/baseline.rs
@@ -0,0 +1,154 @@
+//! The baselines: jobs in the order of submission on the first workers that fit.
+
+use std::collections::BTreeMap;
+
+use persimmondrift::place::{Adjacency, Effect, Reason, Seat, Shape, Spec};
+use persimmondrift::unit::{Attempt, Job, Node, Rack};
+
+#[derive(Debug)]
+struct Worker {
+    node: Node,
+    rack: Rack,
+    free: u64,
+    cores: u32,
+    memory: u64,
+    open: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    spec: Spec,
+    attempt: Attempt,
+}
+
+/// A queue in the order of submission, first fit, nobody evicted.
+#[derive(Debug)]
+pub struct Baseline {
+    /// Whether a job that does not fit holds up those behind it.
+    strict: bool,
+    workers: Vec<Worker>,
+    waiting: BTreeMap<Job, Waiting>,
+    running: BTreeMap<Job, (Waiting, Vec<Seat>)>,
+}
+
+impl Baseline {
+    /// Creates a FIFO queue, or a plain backfill queue.
+    pub fn new(strict: bool) -> Self {
+        Self { strict, workers: Vec::new(), waiting: BTreeMap::new(), running: BTreeMap::new() }
+    }
+
+    /// Adds a worker, or opens or closes it.
+    pub fn put(&mut self, node: &Node, rack: &Rack, accelerators: u32, open: bool) {
+        if let Some(worker) = self.workers.iter_mut().find(|worker| worker.node == *node) {
+            worker.open = open;
+            return;
+        }
+        self.workers.push(Worker {
+            node: node.clone(),
+            rack: rack.clone(),
+            free: (1 << accelerators) - 1,
+            cores: 32,
+            memory: 1 << 17,
+            open,
+        });
+    }
+
+    /// Takes in a job.
+    pub fn submit(&mut self, job: Job, spec: Spec) {
+        self.waiting.insert(job, Waiting { spec, attempt: Attempt(0) });
+    }
+
+    /// Takes a job out; what it holds is free.
+    pub fn end(&mut self, job: Job) {
+        self.waiting.remove(&job);
+        if let Some((waiting, seats)) = self.running.remove(&job) {
+            self.give_back(&waiting.spec.shape, &seats);
+        }
+    }
+
+    /// Puts a running job back into the queue.
+    pub fn requeue(&mut self, job: Job) {
+        if let Some((waiting, seats)) = self.running.remove(&job) {
+            self.give_back(&waiting.spec.shape, &seats);
+            self.waiting.insert(job, waiting);
+        }
+    }
+
+    /// Starts what fits.
+    pub fn step(&mut self) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let jobs: Vec<Job> = self.waiting.keys().copied().collect();
+        for job in jobs {
+            let shape = self.waiting[&job].spec.shape;
+            let Some(seats) = self.find(&shape) else {
+                if self.strict {
+                    break;
+                }
+                continue;
+            };
+            let Some(mut waiting) = self.waiting.remove(&job) else {
+                continue;
+            };
+            waiting.attempt = Attempt(waiting.attempt.0 + 1);
+            self.take(&shape, &seats);
+            let (attempt, reason) = (waiting.attempt, Reason::AcrossRacks);
+            self.running.insert(job, (waiting, seats.clone()));
+            effects.push(Effect::Start { job, attempt, seats, reason });
+        }
+        effects
+    }
+
+    fn find(&self, shape: &Shape) -> Option<Vec<Seat>> {
+        let parts = usize::from(shape.parts);
+        let mut seats: Vec<Seat> = Vec::new();
+        let mut rack: Option<&Rack> = None;
+        for worker in self.workers.iter().filter(|worker| worker.open) {
+            let new_rack = rack != Some(&worker.rack);
+            if shape.adjacency == Adjacency::Worker
+                || (shape.adjacency == Adjacency::Rack && new_rack)
+            {
+                seats.clear();
+            }
+            rack = Some(&worker.rack);
+            let (mut free, mut cores, mut memory) = (worker.free, worker.cores, worker.memory);
+            while seats.len() < parts
+                && free.count_ones() >= shape.accelerators.0
+                && cores >= shape.cores.0
+                && memory >= shape.memory.0
+            {
+                let mut mask = 0;
+                for _ in 0..shape.accelerators.0 {
+                    mask |= free & !mask & (free & !mask).wrapping_neg();
+                }
+                free &= !mask;
+                cores -= shape.cores.0;
+                memory -= shape.memory.0;
+                seats.push(Seat { node: worker.node.clone(), mask });
+            }
+            if seats.len() == parts {
+                return Some(seats);
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, shape: &Shape, seats: &[Seat]) {
+        for seat in seats {
+            for worker in self.workers.iter_mut().filter(|worker| worker.node == seat.node) {
+                worker.free &= !seat.mask;
+                worker.cores -= shape.cores.0;
+                worker.memory -= shape.memory.0;
+            }
+        }
+    }
+
+    fn give_back(&mut self, shape: &Shape, seats: &[Seat]) {
+        for seat in seats {
+            for worker in self.workers.iter_mut().filter(|worker| worker.node == seat.node) {
+                worker.free |= seat.mask;
+                worker.cores += shape.cores.0;
+                worker.memory += shape.memory.0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/persimmon-load/src/replay/cost.rs
@@ -0,0 +1,212 @@
+//! What a step of the planner costs, by the size of its zone.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use persimmondrift::member::Capacity;
+use persimmondrift::place::{
+    Adjacency, Class, Effect, Eviction, Outcome, Planner, Policy, Promise, Shape, Spec,
+};
+use persimmondrift::unit::{
+    Accelerators, Connections, Cores, Job, Mebibytes, Millis, Node, Rack, Slots, Time,
+};
+
+/// Sizes that are measured: workers, and tasks that run.
+const SIZES: [(u32, u32); 6] =
+    [(11, 47), (110, 465), (440, 1_860), (880, 3_720), (4_400, 18_600), (22_000, 93_000)];
+/// Steps that are timed for each size.
+const STEPS: u32 = 400;
+/// Jobs that wait for each worker.
+const WAITING: f64 = 0.5;
+
+/// Times steps at each size and prints a table.
+///
+/// # Errors
+///
+/// Returns an error if the memory of the process cannot be read.
+pub fn run() -> anyhow::Result<()> {
+    println!(
+        "| workers | accelerators | tasks | waiting | step p50 ms | step p99 ms | idle step us | cancel of 10,000 ms | bytes a task |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for (workers, tasks) in SIZES {
+        measure(workers, tasks)?;
+    }
+    Ok(())
+}
+
+fn spec(rng: &mut Rng, parts: u16, accelerators: u32) -> Spec {
+    let kinds = ["preview", "render", "route"];
+    Spec {
+        workspace: format!("team-{}", rng.u32(0..81)).parse().expect("valid"),
+        kind: kinds[rng.usize(0..3)].parse().expect("valid"),
+        shape: Shape {
+            parts,
+            accelerators: Accelerators(accelerators),
+            cores: Cores(1),
+            memory: Mebibytes(1 << 10),
+            adjacency: if parts > 8 { Adjacency::Zone } else { Adjacency::Rack },
+        },
+        class: if rng.bool() { Class::Interactive } else { Class::Batch },
+        eviction: if rng.u8(0..10) == 0 { Eviction::Never } else { Eviction::Checkpoint },
+        run_ms: Millis(rng.u64(600_000..14_400_000)),
+        claim: false,
+        zone: None,
+    }
+}
+
+fn started(effects: &[Effect], running: &mut Vec<Job>) -> u32 {
+    let mut parts = 0;
+    for effect in effects {
+        if let Effect::Start { job, seats, .. } = effect {
+            running.push(*job);
+            parts += u32::try_from(seats.len()).expect("few parts");
+        }
+    }
+    parts
+}
+
+/// Returns a zone of workers with 1 or 2 accelerators, or 8 each when it is small.
+fn zone(workers: u32) -> (Planner, u32) {
+    let mut planner = Planner::new(Policy::default());
+    let mut sum = 0;
+    for index in 0..workers {
+        let accelerators = match (workers, index % 25) {
+            (11, _) => 8,
+            (_, 0..17) => 2,
+            _ => 1,
+        };
+        sum += accelerators;
+        let capacity = Capacity {
+            slots: Slots(8),
+            connections: Connections(64),
+            accelerators: Accelerators(accelerators),
+            cores: Cores(32),
+            memory: Mebibytes(1 << 17),
+        };
+        let node = Node::try_from(format!("worker-{index}")).expect("valid");
+        let rack = Rack::try_from(format!("rack-{}", index / 24)).expect("valid");
+        planner.put_worker(&node, &rack, capacity, true);
+    }
+    let shape = |parts| Shape {
+        parts,
+        accelerators: Accelerators(1),
+        cores: Cores(1),
+        memory: Mebibytes(1 << 10),
+        adjacency: Adjacency::Rack,
+    };
+    let promise = |team: u32| Promise {
+        workspace: format!("team-{team}").parse().expect("valid"),
+        shape: shape(4),
+    };
+    planner.set_guarantees((0..(workers / 40).min(81)).map(promise).collect());
+    (planner, sum)
+}
+
+fn measure(workers: u32, tasks: u32) -> anyhow::Result<()> {
+    let mut rng = Rng::with_seed(u64::from(workers));
+    let (mut planner, accelerators) = zone(workers);
+    let mut now = Time::from_secs(1);
+    let mut next = 0;
+    let mut running = Vec::new();
+    planner.step(now);
+    let before = resident()?;
+    let mut parts = 0;
+    while parts < tasks {
+        // Tasks beyond the accelerators need cores only.
+        for _ in 0..(tasks - parts).div_ceil(2).min(1_000) {
+            let need = u32::from(parts < accelerators / 2);
+            let spec = spec(&mut rng, 2, need);
+            planner.submit(now, Job(next), spec);
+            next += 1;
+        }
+        parts += started(&planner.step(now), &mut running);
+        now = now + Duration::from_secs(1);
+    }
+    let memory = resident()?.saturating_sub(before) / u64::from(tasks);
+    let waiting = wait_for_room(&mut planner, &mut rng, now, workers, &mut next);
+    let mut times = Vec::new();
+    for _ in 0..STEPS {
+        now = now + Duration::from_secs(2);
+        let job = running.swap_remove(rng.usize(0..running.len()));
+        planner.ended(now, job, Outcome::Finished);
+        planner.submit(now, Job(next), spec(&mut rng, 1, 1));
+        next += 1;
+        let begin = Instant::now();
+        let effects = planner.step(now);
+        times.push(begin.elapsed());
+        for effect in &effects {
+            if let Effect::Stop { job, attempt, .. } = effect {
+                running.retain(|other| other != job);
+                planner.released(now, *job, *attempt);
+            }
+        }
+        started(&effects, &mut running);
+    }
+    times.sort_unstable();
+    let idle = idle(&mut planner, now);
+    let cancel = cancel(&mut planner, &mut rng, now, next);
+    let at = |percent: usize| times[times.len() * percent / 100].as_secs_f64() * 1e3;
+    println!(
+        "| {workers} | {accelerators} | {tasks} | {waiting} | {:.2} | {:.2} | {:.2} | {:.1} | {memory} |",
+        at(50),
+        at(99),
+        idle.as_secs_f64() * 1e6,
+        cancel.as_secs_f64() * 1e3
+    );
+    Ok(())
+}
+
+/// Submits jobs that wait: of several shapes, some of them large.
+fn wait_for_room(
+    planner: &mut Planner,
+    rng: &mut Rng,
+    now: Time,
+    workers: u32,
+    next: &mut u64,
+) -> usize {
+    let count = f64::from(workers) * WAITING;
+    let mut submitted = 0.0;
+    while submitted < count.max(20.0) {
+        let parts = [1, 2, 4, 8, 64, 1_024][rng.usize(0..6)];
+        let spec = spec(rng, parts, 1);
+        planner.submit(now, Job(*next), spec);
+        *next += 1;
+        submitted += 1.0;
+    }
+    planner.summary().waiting
+}
+
+/// Returns the time of a step in which nothing has changed.
+fn idle(planner: &mut Planner, now: Time) -> Duration {
+    planner.step(now);
+    planner.step(now);
+    let begin = Instant::now();
+    for _ in 0..1_000 {
+        planner.step(now);
+    }
+    begin.elapsed() / 1_000
+}
+
+/// Returns the time of 10,000 cancellations and of the step after them.
+fn cancel(planner: &mut Planner, rng: &mut Rng, now: Time, next: u64) -> Duration {
+    for id in 0..10_000 {
+        let spec = spec(rng, 1, 1);
+        planner.submit(now, Job(next + id), spec);
+    }
+    planner.step(now);
+    let begin = Instant::now();
+    for id in 0..10_000 {
+        planner.cancel(Job(next + id));
+    }
+    planner.step(now);
+    begin.elapsed()
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident() -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes: u64 = line.unwrap_or("0 kB").trim().trim_end_matches(" kB").parse()?;
+    Ok(kibibytes << 10)
+}
--- /dev/null
+++ b/persimmon-load/src/replay/figures.rs
@@ -0,0 +1,316 @@
+//! What is measured of a replay, and how it is printed.
+
+use persimmondrift::place::{Adjacency, Shape};
+
+use super::list::{ACCELERATORS, Group, List, RACK, WORKERS};
+
+/// What became of a job, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Done {
+    /// How it is reported.
+    pub group: Group,
+    /// When it was submitted.
+    pub submitted: f64,
+    /// When it ran first.
+    pub start: Option<f64>,
+    /// When it ended.
+    pub end: Option<f64>,
+    /// Whether it finished.
+    pub finished: bool,
+    /// Whether it claimed a guarantee that the planner had told to be at risk.
+    pub at_risk: bool,
+}
+
+impl Done {
+    /// Creates the record of a job that waits.
+    pub fn new(group: Group, submitted: f64) -> Self {
+        Self { group, submitted, start: None, end: None, finished: false, at_risk: false }
+    }
+}
+
+/// The sums of one replay.
+#[derive(Debug, Default)]
+pub struct Trace {
+    done: Vec<Done>,
+    /// Time-weighted sums: the share of free accelerators that is unusable, and of all.
+    unusable: f64,
+    unusable_of_all: f64,
+    seconds: f64,
+    /// Evictions and cancelled attempts.
+    pub evictions: u32,
+    blamed: u32,
+    wronged: u32,
+    faulty: u32,
+    makespan_ratio: f64,
+    bound_mean: f64,
+}
+
+/// A figure against its target.
+#[derive(Debug)]
+pub struct Ratio {
+    /// The figure.
+    pub value: f64,
+    /// The most that is wanted.
+    pub target: f64,
+}
+
+impl Trace {
+    /// Adds a time in which `free` accelerators were free and a shape waited.
+    pub fn observe(&mut self, seconds: f64, free: &[u64], largest: Option<&Shape>) {
+        self.seconds += seconds;
+        let Some(shape) = largest else {
+            return;
+        };
+        let all: u32 = free.iter().map(|mask| mask.count_ones()).sum();
+        let unusable = f64::from(all - usable(free, shape));
+        self.unusable += seconds * unusable / f64::from(all.max(1));
+        self.unusable_of_all += seconds * unusable / f64::from(WORKERS * ACCELERATORS);
+    }
+
+    /// Counts a job that was found to be at fault.
+    pub fn blame(&mut self, faulty: bool) {
+        self.blamed += u32::from(faulty);
+        self.wronged += u32::from(!faulty);
+    }
+
+    /// Adds what is known when all jobs have ended.
+    pub fn finish(mut self, list: &List, done: Vec<Done>) -> Self {
+        let capacity = f64::from(WORKERS * ACCELERATORS);
+        let (mut work, mut longest, mut earliest, mut end) = (0.0, 0.0, 0.0, 0.0);
+        for (item, done) in list.items.iter().zip(&done) {
+            self.faulty += u32::from(item.faulty && item.cancel.is_none());
+            if done.finished {
+                work += item.run * f64::from(item.spec.shape.total().0);
+                longest = f64::max(longest, item.run);
+                earliest = f64::max(earliest, item.at + item.run);
+                end = f64::max(end, done.end.unwrap_or(0.0));
+            }
+        }
+        self.makespan_ratio = end / f64::max(f64::max(work / capacity, longest), earliest);
+        self.bound_mean = bound(list, &done, capacity);
+        self.done = done;
+        self
+    }
+}
+
+/// Returns the accelerators on which whole copies of a shape fit.
+fn usable(free: &[u64], shape: &Shape) -> u32 {
+    let need = shape.accelerators.0.max(1);
+    let parts = u32::from(shape.parts);
+    let offers: Vec<u32> = free.iter().map(|mask| mask.count_ones() / need).collect();
+    let copies: u32 = match shape.adjacency {
+        Adjacency::Worker => offers.iter().map(|offer| offer / parts).sum(),
+        Adjacency::Rack => {
+            offers.chunks(RACK as usize).map(|rack| rack.iter().sum::<u32>() / parts).sum()
+        }
+        Adjacency::Zone => offers.iter().sum::<u32>() / parts,
+    };
+    copies * parts * need
+}
+
+/// Returns a lower bound of the mean completion time of the finished jobs.
+///
+/// One machine as fast as all accelerators together that always works on the job with the
+/// least work left cannot be beaten; nor can the mean run time.
+fn bound(list: &List, done: &[Done], capacity: f64) -> f64 {
+    let mut open: Vec<(f64, f64)> = Vec::new();
+    let (mut now, mut sum, mut runs, mut count) = (0.0, 0.0, 0.0, 0.0);
+    let finished: Vec<_> =
+        list.items.iter().zip(done).filter(|(_, done)| done.finished).map(|(i, _)| i).collect();
+    for (index, item) in finished.iter().enumerate() {
+        now = f64::max(now, item.at);
+        open.push((item.run * f64::from(item.spec.shape.total().0) / capacity, item.at));
+        runs += item.run;
+        count += 1.0;
+        let until = finished.get(index + 1).map_or(f64::INFINITY, |next| next.at);
+        open.sort_by(|one, other| other.0.total_cmp(&one.0));
+        while let Some(job) = open.last_mut() {
+            if now + job.0 > until {
+                job.0 -= until - now;
+                break;
+            }
+            now += job.0;
+            sum += now - job.1;
+            open.pop();
+        }
+        now = f64::min(now, until).max(item.at);
+        if until.is_finite() {
+            now = until;
+        }
+    }
+    f64::max(sum, runs) / f64::max(count, 1.0)
+}
+
+/// The figures of several replays.
+#[derive(Debug)]
+pub struct Figures {
+    completion: Vec<(Group, f64)>,
+    large_waits: Vec<f64>,
+    claim_waits: Vec<f64>,
+    claims: usize,
+    at_risk: usize,
+    unusable: f64,
+    unusable_of_all: f64,
+    makespan: f64,
+    bound_mean: f64,
+    evictions: u32,
+    blamed: u32,
+    wronged: u32,
+    faulty: u32,
+}
+
+impl Figures {
+    /// Adds up replays.
+    pub fn of(traces: impl Iterator<Item = Trace>) -> Self {
+        let mut all = Self {
+            completion: Vec::new(),
+            large_waits: Vec::new(),
+            claim_waits: Vec::new(),
+            claims: 0,
+            at_risk: 0,
+            unusable: 0.0,
+            unusable_of_all: 0.0,
+            makespan: 0.0,
+            bound_mean: 0.0,
+            evictions: 0,
+            blamed: 0,
+            wronged: 0,
+            faulty: 0,
+        };
+        let mut count = 0.0;
+        for trace in traces {
+            count += 1.0;
+            all.unusable += trace.unusable / trace.seconds;
+            all.unusable_of_all += trace.unusable_of_all / trace.seconds;
+            all.makespan += trace.makespan_ratio;
+            all.bound_mean += trace.bound_mean;
+            all.evictions += trace.evictions;
+            all.blamed += trace.blamed;
+            all.wronged += trace.wronged;
+            all.faulty += trace.faulty;
+            for done in trace.done {
+                all.add(&done);
+            }
+        }
+        for sum in
+            [&mut all.unusable, &mut all.unusable_of_all, &mut all.makespan, &mut all.bound_mean]
+        {
+            *sum /= count;
+        }
+        all
+    }
+
+    fn add(&mut self, done: &Done) {
+        self.claims += usize::from(done.group == Group::Claim);
+        if done.at_risk {
+            self.at_risk += 1;
+            self.claims -= 1;
+            return;
+        }
+        let (Some(start), Some(end), true) = (done.start, done.end, done.finished) else {
+            return;
+        };
+        self.completion.push((done.group, end - done.submitted));
+        match done.group {
+            Group::Large => self.large_waits.push(start - done.submitted),
+            Group::Claim => self.claim_waits.push(start - done.submitted),
+            Group::Small | Group::Medium => {}
+        }
+    }
+
+    /// Returns the number of claims that did not start within a bound, in seconds, and finish.
+    pub fn late(&self, bound: f64) -> usize {
+        self.claims - self.claim_waits.iter().filter(|&&wait| wait <= bound).count()
+    }
+
+    fn of_group(&self, group: Option<Group>) -> Vec<f64> {
+        let wanted = |other: Group| match group {
+            Some(group) => group == other,
+            None => other != Group::Claim,
+        };
+        let chosen = self.completion.iter().filter(|(group, _)| wanted(*group));
+        chosen.map(|(_, seconds)| *seconds).collect()
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    let count = u32::try_from(values.len()).expect("few values");
+    values.iter().sum::<f64>() / f64::from(count.max(1))
+}
+
+/// Returns the value below which a share of the values lies, in percent.
+fn percentile(values: &[f64], percent: usize) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let rank = (sorted.len() * percent).div_ceil(100).max(1);
+    sorted.get(rank - 1).copied().unwrap_or(0.0)
+}
+
+/// Prints the figures, one scheduler a row.
+pub fn print(rows: &[(&str, &Figures)]) {
+    println!(
+        "| scheduler | jobs | completion mean / p50 / p99 s | small | medium | large | wait of large p99 s | unusable of free | unusable of all | makespan / bound | mean / bound | evictions |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (name, figures) in rows {
+        let all = figures.of_group(None);
+        let by = |group| {
+            let times = figures.of_group(Some(group));
+            format!(
+                "{:.0} / {:.0} / {:.0}",
+                mean(&times),
+                percentile(&times, 50),
+                percentile(&times, 99)
+            )
+        };
+        println!(
+            "| {name} | {} | {:.0} / {:.0} / {:.0} | {} | {} | {} | {:.0} | {:.3} | {:.3} | {:.2} | {:.2} | {} |",
+            all.len(),
+            mean(&all),
+            percentile(&all, 50),
+            percentile(&all, 99),
+            by(Group::Small),
+            by(Group::Medium),
+            by(Group::Large),
+            percentile(&figures.large_waits, 99),
+            figures.unusable,
+            figures.unusable_of_all,
+            figures.makespan,
+            mean(&all) / figures.bound_mean,
+            figures.evictions
+        );
+    }
+    println!();
+}
+
+/// Prints a planner's figures against the targets.
+pub fn compare(name: &str, figures: &Figures, fifo: &Figures, backfill: &Figures) {
+    let (own, first) = (figures.of_group(None), fifo.of_group(None));
+    let ratios = [
+        ("mean completion to FIFO", mean(&own) / mean(&first), 0.6),
+        ("mean completion to its bound", mean(&own) / figures.bound_mean, 1.3),
+        ("makespan to its bound", figures.makespan, 1.3),
+        ("p99 completion to FIFO", percentile(&own, 99) / percentile(&first, 99), 0.8),
+        ("unusable of free to FIFO", figures.unusable / fifo.unusable, 0.5),
+        ("unusable of all to FIFO", figures.unusable_of_all / fifo.unusable_of_all, 0.5),
+        (
+            "p99 wait of large to backfill",
+            percentile(&figures.large_waits, 99) / percentile(&backfill.large_waits, 99),
+            0.5,
+        ),
+    ];
+    for (what, value, target) in ratios {
+        let ratio = Ratio { value, target };
+        println!("- {name}: {what} {value:.2}, wanted {target}: {}", ratio.verdict());
+    }
+    let latest = figures.claim_waits.iter().copied().fold(0.0, f64::max);
+    println!(
+        "- {name}: {} of {} claims finished, latest start after {latest:.1} s, {} more at risk by loss of workers; faulty jobs found {} of {}, others blamed {}",
+        figures.claim_waits.len(),
+        figures.claims,
+        figures.at_risk,
+        figures.blamed,
+        figures.faulty,
+        figures.wronged
+    );
+}
--- /dev/null
+++ b/persimmon-load/src/replay/list.rs
@@ -0,0 +1,250 @@
+//! Seeded job lists: bursts of small and large jobs, wrong declarations, faults, cancellations.
+
+use fastrand::Rng;
+use persimmondrift::place::{Adjacency, Class, Eviction, Promise, Shape, Spec};
+use persimmondrift::unit::{Accelerators, Cores, Mebibytes, Millis, Workspace};
+
+/// Workers of a deployment.
+pub const WORKERS: u32 = 11;
+/// Accelerators of each.
+pub const ACCELERATORS: u32 = 8;
+/// Workers of a rack.
+pub const RACK: u32 = 3;
+/// Span in which jobs arrive, in seconds.
+const SPAN: f64 = 28_800.0;
+/// Work that arrives in the span, as a share of what all accelerators can do.
+const LOAD: f64 = 0.85;
+/// Bursts of a list.
+const BURSTS: u32 = 6;
+/// Length of a burst, in seconds.
+const BURST: f64 = 300.0;
+/// Share of the jobs that arrive in bursts.
+const IN_BURSTS: f64 = 0.6;
+
+/// Whose sizes and mix of jobs are replayed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deployment {
+    /// Previews and renders of workshops.
+    Soplo,
+    /// Stock checks, prices and routes of an order desk.
+    Kleenline,
+}
+
+/// How jobs are reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Group {
+    /// One or two accelerators.
+    Small,
+    /// Up to one worker.
+    Medium,
+    /// Several workers.
+    Large,
+    /// A claim of a guarantee.
+    Claim,
+}
+
+/// A job of a list.
+#[derive(Debug, Clone)]
+pub struct Item {
+    /// What it declares.
+    pub spec: Spec,
+    /// When it is submitted, in seconds.
+    pub at: f64,
+    /// How long it runs, in seconds.
+    pub run: f64,
+    /// Whether it fails wherever it runs.
+    pub faulty: bool,
+    /// When it is cancelled, in seconds.
+    pub cancel: Option<f64>,
+    /// How it is reported.
+    pub group: Group,
+}
+
+/// A worker that is lost or bad for some time, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    /// The worker.
+    pub worker: u32,
+    /// When it begins.
+    pub from: f64,
+    /// When it ends.
+    pub to: f64,
+    /// Whether the worker is lost; otherwise it fails what it starts.
+    pub lost: bool,
+}
+
+/// A job list.
+#[derive(Debug)]
+pub struct List {
+    /// The jobs in the order of their submission.
+    pub items: Vec<Item>,
+    /// The guarantees.
+    pub promises: Vec<Promise>,
+    /// The faults of workers.
+    pub faults: Vec<Fault>,
+}
+
+impl List {
+    /// Draws a list.
+    pub fn new(deployment: Deployment, seed: u64) -> Self {
+        let salt = if deployment == Deployment::Soplo { 0 } else { 1 << 40 };
+        let mut rng = Rng::with_seed(seed + salt);
+        let names = match deployment {
+            Deployment::Soplo => ["taller", "estudio", "horno", "vidrio"],
+            Deployment::Kleenline => ["hotels", "clinics", "condos", "depot"],
+        };
+        let biases: Vec<f64> = (0..12).map(|_| between(&mut rng, 1.0 / 3.0, 3.0)).collect();
+        let bursts: Vec<f64> = (0..BURSTS).map(|_| rng.f64() * (SPAN - BURST)).collect();
+        let mut items = Vec::new();
+        let mut work = 0.0;
+        while work < LOAD * SPAN * f64::from(WORKERS * ACCELERATORS) {
+            let owner = rng.usize(0..names.len());
+            let item = draw(&mut rng, deployment, (names[owner], owner), &biases, &bursts);
+            work += item.run * f64::from(item.spec.shape.total().0);
+            items.push(item);
+        }
+        let promises = promises(names);
+        for promise in &promises {
+            // The second claim comes when the first has ended.
+            for from in [0.0, 0.55] {
+                items.push(claim(&mut rng, promise, from * SPAN));
+            }
+        }
+        cancel(&mut rng, &mut items, names[3]);
+        items.sort_by(|one, other| one.at.total_cmp(&other.at));
+        Self { items, promises, faults: faults(&mut rng) }
+    }
+}
+
+/// Returns a number between two bounds, with an even logarithm.
+fn between(rng: &mut Rng, low: f64, high: f64) -> f64 {
+    (low.ln() + rng.f64() * (high / low).ln()).exp()
+}
+
+fn arrival(rng: &mut Rng, bursts: &[f64]) -> f64 {
+    if rng.f64() < IN_BURSTS {
+        bursts[rng.usize(0..bursts.len())] + rng.f64() * BURST
+    } else {
+        rng.f64() * SPAN
+    }
+}
+
+fn draw(
+    rng: &mut Rng,
+    deployment: Deployment,
+    (name, owner): (&str, usize),
+    biases: &[f64],
+    bursts: &[f64],
+) -> Item {
+    let small_share = if deployment == Deployment::Soplo { 0.75 } else { 0.6 };
+    let dice = rng.f64();
+    let (group, parts, accelerators, adjacency, run) = if dice < small_share {
+        (Group::Small, 1, rng.u32(1..=2), Adjacency::Worker, between(rng, 30.0, 900.0))
+    } else if dice < 0.9 {
+        let size = [2, 4, 8][rng.usize(0..3)];
+        (Group::Medium, 1, size, Adjacency::Worker, between(rng, 300.0, 3_600.0))
+    } else if dice < 0.99 {
+        (Group::Large, rng.u16(2..=3), 8, Adjacency::Rack, between(rng, 900.0, 5_400.0))
+    } else {
+        (Group::Large, rng.u16(4..=8), 8, Adjacency::Zone, between(rng, 900.0, 3_600.0))
+    };
+    let eviction = match rng.f64() {
+        x if x < 0.7 => Eviction::Checkpoint,
+        x if x < 0.9 => Eviction::Stop,
+        _ if group == Group::Large => Eviction::Checkpoint,
+        _ => Eviction::Never,
+    };
+    let class = if group == Group::Small { Class::Interactive } else { Class::Batch };
+    let kind = ["preview", "render", "route"][group as usize];
+    let bias = biases[owner * 3 + group as usize];
+    let wrong = (bias * between(rng, 0.6, 1.0 / 0.6)).clamp(0.2, 5.0);
+    Item {
+        spec: Spec {
+            workspace: name.parse().expect("valid"),
+            kind: kind.parse().expect("valid"),
+            shape: Shape {
+                parts,
+                accelerators: Accelerators(accelerators),
+                cores: Cores(accelerators * 3),
+                memory: Mebibytes(u64::from(accelerators) << 13),
+                adjacency,
+            },
+            class,
+            eviction,
+            run_ms: millis(run * wrong),
+            claim: false,
+            zone: None,
+        },
+        at: arrival(rng, bursts),
+        run,
+        faulty: rng.f64() < 0.005,
+        cancel: None,
+        group,
+    }
+}
+
+fn promises(names: [&str; 4]) -> Vec<Promise> {
+    let shape = |parts, adjacency| Shape {
+        parts,
+        accelerators: Accelerators(ACCELERATORS),
+        cores: Cores(24),
+        memory: Mebibytes(1 << 16),
+        adjacency,
+    };
+    let promise = |name: &str, shape| Promise { workspace: name.parse().expect("valid"), shape };
+    vec![
+        promise(names[0], shape(3, Adjacency::Rack)),
+        promise(names[1], shape(2, Adjacency::Rack)),
+        promise(names[2], shape(1, Adjacency::Worker)),
+    ]
+}
+
+fn claim(rng: &mut Rng, promise: &Promise, from: f64) -> Item {
+    let run = between(rng, 300.0, 900.0);
+    Item {
+        spec: Spec {
+            workspace: promise.workspace.clone(),
+            kind: "claim".parse().expect("valid"),
+            shape: promise.shape,
+            class: Class::Urgent,
+            eviction: Eviction::Never,
+            run_ms: millis(run),
+            claim: true,
+            zone: None,
+        },
+        at: from + rng.f64() * 0.45 * SPAN,
+        run,
+        faulty: false,
+        cancel: None,
+        group: Group::Claim,
+    }
+}
+
+/// Cancels, all at once, most small jobs that a workspace has submitted shortly before.
+fn cancel(rng: &mut Rng, items: &mut [Item], name: &str) {
+    let at = SPAN * (0.3 + 0.4 * rng.f64());
+    for item in items {
+        let recent = item.at < at && item.at > at - 3_600.0;
+        let theirs: Workspace = name.parse().expect("valid");
+        if recent && item.spec.workspace == theirs && rng.f64() < 0.8 {
+            item.cancel = Some(at);
+        }
+    }
+}
+
+/// Draws one lost and one bad worker.
+fn faults(rng: &mut Rng) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for lost in [true, false] {
+        let from = rng.f64() * SPAN;
+        let to = from + if lost { 300.0 } else { 1_800.0 };
+        faults.push(Fault { worker: rng.u32(0..WORKERS), from, to, lost });
+    }
+    faults
+}
+
+/// Returns seconds as milliseconds.
+fn millis(seconds: f64) -> Millis {
+    let span = std::time::Duration::from_secs_f64(seconds);
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/persimmon-load/src/replay/run.rs
@@ -0,0 +1,445 @@
+//! One replay: the scheduler's effects are carried out by workers of virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use persimmondrift::health::Verdict;
+use persimmondrift::member::Capacity;
+use persimmondrift::place::{Effect, Eviction, Outcome, Planner, Policy, Seat, Shape};
+use persimmondrift::unit::{
+    Accelerators, Attempt, Connections, Cores, Job, Mebibytes, Node, Rack, Slots, Time, Workspace,
+};
+
+use super::baseline::Baseline;
+use super::figures::{Done, Trace};
+use super::list::{ACCELERATORS, Group, List, RACK, WORKERS};
+
+/// Seconds from the decision until all parts run.
+const START: f64 = 0.3;
+/// Seconds until a job that saves its state has left.
+const CHECKPOINT: f64 = 2.0;
+/// Seconds until a job that is stopped has left.
+const STOP: f64 = 1.0;
+/// Seconds that a job needs to load its saved state.
+const RESTORE: f64 = 10.0;
+/// Seconds until the lease of a lost part has lapsed.
+const LAPSE: f64 = 6.5;
+/// Seconds until a failure shows.
+const FAILURE: f64 = 5.0;
+/// Failures after which a baseline gives a job up.
+const FAILURES: u32 = 5;
+/// Seconds between two steps when nothing happens.
+const TICK: f64 = 1.0;
+/// Seconds after which a job that has not ended is taken to starve.
+const LATEST: f64 = 200_000.0;
+
+const CAPACITY: Capacity = Capacity {
+    slots: Slots(8),
+    connections: Connections(64),
+    accelerators: Accelerators(ACCELERATORS),
+    cores: Cores(32),
+    memory: Mebibytes(1 << 17),
+};
+
+/// The planner or a baseline.
+#[derive(Debug)]
+pub enum Scheduler {
+    /// The planner of a zone.
+    Planner(Box<Planner>),
+    /// A baseline.
+    Baseline(Baseline),
+}
+
+impl Scheduler {
+    /// Creates a planner with weights.
+    pub fn planner(policy: Policy) -> Self {
+        Self::Planner(Box::new(Planner::new(policy)))
+    }
+
+    /// Creates FIFO first-fit, or plain backfill.
+    pub fn baseline(strict: bool) -> Self {
+        Self::Baseline(Baseline::new(strict))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Submit(usize),
+    Cancel(usize),
+    End(Job, Attempt),
+    Fail(Job, Attempt),
+    Left(Job, Attempt),
+    FaultBegins(usize),
+    FaultEnds(usize),
+    Tick,
+}
+
+#[derive(Debug)]
+struct Running {
+    attempt: Attempt,
+    seats: Vec<Seat>,
+    since: f64,
+    leaving: bool,
+}
+
+struct Replay<'a> {
+    list: &'a List,
+    scheduler: Scheduler,
+    now: f64,
+    events: BinaryHeap<Reverse<(Time, Event)>>,
+    running: BTreeMap<Job, Running>,
+    waiting: BTreeSet<usize>,
+    bad: BTreeSet<Node>,
+    failures: BTreeMap<Job, u32>,
+    at_risk: Vec<(Workspace, Shape)>,
+    done: Vec<Done>,
+    left: Vec<f64>,
+    trace: Trace,
+}
+
+/// Replays a list.
+pub fn replay(list: &List, scheduler: Scheduler) -> Trace {
+    let mut replay = Replay {
+        list,
+        scheduler,
+        now: 0.0,
+        events: BinaryHeap::new(),
+        running: BTreeMap::new(),
+        waiting: BTreeSet::new(),
+        bad: BTreeSet::new(),
+        failures: BTreeMap::new(),
+        at_risk: Vec::new(),
+        done: list.items.iter().map(|item| Done::new(item.group, item.at)).collect(),
+        left: list.items.iter().map(|item| item.run).collect(),
+        trace: Trace::default(),
+    };
+    for index in 0..WORKERS {
+        replay.put(index, true);
+    }
+    if let Scheduler::Planner(planner) = &mut replay.scheduler {
+        planner.set_guarantees(list.promises.clone());
+    }
+    replay.plan_events();
+    replay.run();
+    replay.trace.finish(list, replay.done)
+}
+
+fn node(index: u32) -> Node {
+    Node::try_from(format!("worker-{index:02}")).expect("valid")
+}
+
+fn time(seconds: f64) -> Time {
+    Time(0) + Duration::from_secs_f64(seconds)
+}
+
+fn index(job: Job) -> usize {
+    usize::try_from(job.0).expect("small")
+}
+
+fn job(index: usize) -> Job {
+    Job(u64::try_from(index).expect("small"))
+}
+
+impl Replay<'_> {
+    fn plan_events(&mut self) {
+        for (index, item) in self.list.items.iter().enumerate() {
+            self.events.push(Reverse((time(item.at), Event::Submit(index))));
+            if let Some(at) = item.cancel {
+                self.events.push(Reverse((time(at), Event::Cancel(index))));
+            }
+        }
+        for (index, fault) in self.list.faults.iter().enumerate() {
+            self.events.push(Reverse((time(fault.from), Event::FaultBegins(index))));
+            self.events.push(Reverse((time(fault.to), Event::FaultEnds(index))));
+        }
+        self.events.push(Reverse((time(TICK), Event::Tick)));
+    }
+
+    fn run(&mut self) {
+        let mut open = self.list.items.len();
+        while open > 0 {
+            let Some(Reverse((at, event))) = self.events.pop() else {
+                break;
+            };
+            let then = at.since(Time(0)).as_secs_f64();
+            self.observe(then - self.now);
+            self.now = then;
+            let mut effects = self.handle(event);
+            effects.extend(self.step());
+            assert!(self.now < LATEST, "a job never ends: {}", self.stuck());
+            self.apply(effects);
+            open = self.done.iter().filter(|done| done.end.is_none()).count();
+        }
+    }
+
+    /// Describes what still waits.
+    fn stuck(&self) -> String {
+        let mut lines = Vec::new();
+        for &index in &self.waiting {
+            let item = &self.list.items[index];
+            let reason = match &self.scheduler {
+                Scheduler::Planner(planner) => {
+                    planner.explain(time(self.now), job(index)).map(|wait| wait.to_string())
+                }
+                Scheduler::Baseline(_) => None,
+            };
+            lines.push(format!("{index} {reason:?} {:?}", item.spec));
+        }
+        lines.join("\n")
+    }
+
+    fn after(&mut self, seconds: f64, event: Event) {
+        self.events.push(Reverse((time(self.now + seconds), event)));
+    }
+
+    fn put(&mut self, index: u32, open: bool) {
+        let rack = Rack::try_from(format!("rack-{}", index / RACK)).expect("valid");
+        match &mut self.scheduler {
+            Scheduler::Planner(planner) => {
+                planner.put_worker(&node(index), &rack, CAPACITY, open);
+            }
+            Scheduler::Baseline(baseline) => {
+                baseline.put(&node(index), &rack, ACCELERATORS, open);
+            }
+        }
+    }
+
+    fn step(&mut self) -> Vec<Effect> {
+        match &mut self.scheduler {
+            Scheduler::Planner(planner) => planner.step(time(self.now)),
+            Scheduler::Baseline(baseline) => baseline.step(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Submit(index) => {
+                let spec = self.list.items[index].spec.clone();
+                self.waiting.insert(index);
+                match &mut self.scheduler {
+                    Scheduler::Planner(planner) => {
+                        planner.submit(time(self.now), job(index), spec);
+                    }
+                    Scheduler::Baseline(baseline) => baseline.submit(job(index), spec),
+                }
+                Vec::new()
+            }
+            Event::Cancel(index) => self.cancel(index),
+            Event::End(job, attempt) if self.runs(job, attempt) => self.end(job),
+            Event::Fail(job, attempt) if self.runs(job, attempt) => self.fail(job, attempt),
+            Event::Left(job, attempt) => {
+                self.leave(job, attempt);
+                Vec::new()
+            }
+            Event::FaultBegins(index) => self.begin_fault(index),
+            Event::FaultEnds(index) => {
+                let fault = self.list.faults[index];
+                self.bad.remove(&node(fault.worker));
+                self.put(fault.worker, true);
+                Vec::new()
+            }
+            Event::Tick => {
+                self.after(TICK, Event::Tick);
+                Vec::new()
+            }
+            Event::End(..) | Event::Fail(..) => Vec::new(),
+        }
+    }
+
+    fn runs(&self, job: Job, attempt: Attempt) -> bool {
+        self.running.get(&job).is_some_and(|r| r.attempt == attempt && !r.leaving)
+    }
+
+    fn cancel(&mut self, index: usize) -> Vec<Effect> {
+        if self.done[index].end.is_some() {
+            return Vec::new();
+        }
+        self.close(index, false);
+        match &mut self.scheduler {
+            Scheduler::Planner(planner) => planner.cancel(job(index)),
+            Scheduler::Baseline(baseline) => {
+                baseline.end(job(index));
+                self.running.remove(&job(index));
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes a job out of the figures' open ones.
+    fn close(&mut self, index: usize, finished: bool) {
+        self.waiting.remove(&index);
+        self.done[index].end = Some(self.now);
+        self.done[index].finished = finished;
+    }
+
+    fn end(&mut self, job: Job) -> Vec<Effect> {
+        self.running.remove(&job);
+        self.close(index(job), true);
+        match &mut self.scheduler {
+            Scheduler::Planner(planner) => planner.ended(time(self.now), job, Outcome::Finished),
+            Scheduler::Baseline(baseline) => {
+                baseline.end(job);
+                Vec::new()
+            }
+        }
+    }
+
+    fn fail(&mut self, job: Job, attempt: Attempt) -> Vec<Effect> {
+        let Some(running) = self.running.remove(&job) else {
+            return Vec::new();
+        };
+        let at = running.seats.iter().find(|seat| self.bad.contains(&seat.node));
+        let at = at.unwrap_or(&running.seats[0]).node.clone();
+        let (over, effects) = match &mut self.scheduler {
+            Scheduler::Planner(planner) => {
+                let (verdict, effects) = planner.failed(time(self.now), job, attempt, &at);
+                (verdict == Verdict::AtFault, effects)
+            }
+            Scheduler::Baseline(baseline) => {
+                let failures = self.failures.entry(job).or_default();
+                *failures += 1;
+                if *failures >= FAILURES {
+                    baseline.end(job);
+                } else {
+                    baseline.requeue(job);
+                }
+                (*failures >= FAILURES, Vec::new())
+            }
+        };
+        if over {
+            let item = &self.list.items[index(job)];
+            if item.cancel.is_none() {
+                self.trace.blame(item.faulty);
+            }
+            self.close(index(job), false);
+        } else {
+            self.waiting.insert(index(job));
+        }
+        effects
+    }
+
+    fn leave(&mut self, job: Job, attempt: Attempt) {
+        if self.running.get(&job).is_none_or(|running| running.attempt != attempt) {
+            return;
+        }
+        self.running.remove(&job);
+        if self.done[index(job)].end.is_none() {
+            self.waiting.insert(index(job));
+        }
+        match &mut self.scheduler {
+            Scheduler::Planner(planner) => planner.released(time(self.now), job, attempt),
+            Scheduler::Baseline(baseline) => baseline.requeue(job),
+        }
+    }
+
+    fn begin_fault(&mut self, index: usize) -> Vec<Effect> {
+        let fault = self.list.faults[index];
+        let node = node(fault.worker);
+        if !fault.lost {
+            self.bad.insert(node);
+            // The baselines are told at once which worker is bad; the planner finds out.
+            if matches!(self.scheduler, Scheduler::Baseline(_)) {
+                self.put(fault.worker, false);
+            }
+            return Vec::new();
+        }
+        if let Scheduler::Planner(planner) = &mut self.scheduler {
+            return planner.remove_worker(time(self.now), &node);
+        }
+        self.put(fault.worker, false);
+        let on = |running: &Running| running.seats.iter().any(|seat| seat.node == node);
+        let mut lost = Vec::new();
+        for (&job, running) in self.running.iter_mut().filter(|(_, running)| on(running)) {
+            running.leaving = true;
+            lost.push((job, running.attempt));
+        }
+        for (job, attempt) in lost {
+            self.after(LAPSE, Event::Left(job, attempt));
+        }
+        Vec::new()
+    }
+
+    fn apply(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Start { job, attempt, seats, .. } => self.start(job, attempt, seats),
+                Effect::Stop { job, attempt, cause } => {
+                    let lost = cause == persimmondrift::place::Cause::WorkerLost;
+                    self.stop(job, attempt, lost);
+                }
+                Effect::AtRisk { workspace, shape } => self.at_risk.push((workspace, shape)),
+                Effect::Restored { workspace, shape } => {
+                    self.at_risk.retain(|risk| *risk != (workspace.clone(), shape));
+                }
+                Effect::Quarantined { .. } | Effect::TakenBack { .. } => {}
+            }
+        }
+        self.mark_at_risk();
+    }
+
+    /// Marks the waiting claims whose guarantee has no place because workers are lost.
+    fn mark_at_risk(&mut self) {
+        for &index in &self.waiting {
+            let spec = &self.list.items[index].spec;
+            let risk = |(workspace, shape): &(Workspace, Shape)| {
+                *workspace == spec.workspace && *shape == spec.shape
+            };
+            self.done[index].at_risk |= spec.claim && self.at_risk.iter().any(risk);
+        }
+    }
+
+    fn start(&mut self, job: Job, attempt: Attempt, seats: Vec<Seat>) {
+        let index = index(job);
+        self.waiting.remove(&index);
+        let item = &self.list.items[index];
+        self.done[index].start.get_or_insert(self.now + START);
+        let resumed = self.left[index] < item.run;
+        let bad = seats.iter().any(|seat| self.bad.contains(&seat.node));
+        let restore = if resumed { RESTORE } else { 0.0 };
+        if bad || item.faulty {
+            self.after(START + FAILURE, Event::Fail(job, attempt));
+        } else {
+            self.after(START + restore + self.left[index], Event::End(job, attempt));
+        }
+        let since = self.now + START + restore;
+        self.running.insert(job, Running { attempt, seats, since, leaving: false });
+    }
+
+    fn stop(&mut self, job: Job, attempt: Attempt, lost: bool) {
+        let Some(running) = self.running.get_mut(&job) else {
+            return;
+        };
+        running.leaving = true;
+        self.trace.evictions += u32::from(!lost);
+        let checkpoint = self.list.items[index(job)].spec.eviction == Eviction::Checkpoint;
+        let pause = match (lost, checkpoint) {
+            (true, _) => LAPSE,
+            (false, true) => CHECKPOINT,
+            (false, false) => STOP,
+        };
+        if checkpoint && !lost {
+            let ran = (self.now - running.since).max(0.0);
+            let left = &mut self.left[index(job)];
+            *left = (*left - ran).max(0.0);
+        }
+        self.after(pause, Event::Left(job, attempt));
+    }
+
+    /// Adds the time until the next event to the sums of the fragmentation.
+    fn observe(&mut self, seconds: f64) {
+        let largest: Option<Shape> = self
+            .waiting
+            .iter()
+            .map(|&index| &self.list.items[index])
+            .filter(|item| item.group != Group::Claim)
+            .map(|item| item.spec.shape)
+            .max_by_key(Shape::total);
+        let mut free = [(1_u64 << ACCELERATORS) - 1; WORKERS as usize];
+        for seat in self.running.values().flat_map(|running| &running.seats) {
+            let number = seat.node.as_str().trim_start_matches("worker-");
+            free[number.parse::<usize>().expect("a number")] &= !seat.mask;
+        }
+        self.trace.observe(seconds, &free, largest.as_ref());
+    }
+}
--- a/persimmondrift/src/health.rs
+++ b/persimmondrift/src/health.rs
@@ -9,7 +9,8 @@
 
 use crate::unit::{Job, Node, Time};
 
-/// Distinct jobs that must fail in a row at a worker before it is quarantined.
+/// Jobs that must fail in a row at a worker, or failures of one job that failed nowhere else,
+/// before the worker is quarantined.
 const JOBS: usize = 3;
 /// Points at which a job is at fault.
 const POINTS: u32 = 6;
@@ -62,10 +63,10 @@
     quarantines: u32,
 }
 
+/// The failures of a job by worker, those at quarantined workers left out.
 #[derive(Debug, Default)]
 struct History {
-    at: BTreeSet<Node>,
-    failures: u32,
+    at: BTreeMap<Node, u32>,
 }
 
 /// The evidence of a zone.
@@ -86,8 +87,7 @@
         total: usize,
     ) -> (Verdict, Option<Change>) {
         let history = self.jobs.entry(job).or_default();
-        history.at.insert(node.clone());
-        history.failures += 1;
+        *history.at.entry(node.clone()).or_default() += 1;
         let record = self.workers.entry(node.clone()).or_insert_with(Record::new);
         record.failed.insert(job);
         let change = self.judge_worker(now, node, total);
@@ -126,11 +126,6 @@
         }
     }
 
-    /// Returns the workers at which a job has failed.
-    pub fn failed_at(&self, job: Job) -> impl Iterator<Item = &Node> {
-        self.jobs.get(&job).into_iter().flat_map(|history| &history.at)
-    }
-
     /// Returns whether a job has failed before.
     #[must_use]
     pub fn has_failed(&self, job: Job) -> bool {
@@ -157,14 +152,7 @@
         let against = match record.state {
             State::Quarantined(_) => return None,
             State::Probed => JOBS,
-            State::Good => {
-                let only_here = |job: &&Job| {
-                    self.jobs.get(job).is_none_or(|history| {
-                        !history.at.iter().any(|other| other != node && self.speaks(**job, other))
-                    })
-                };
-                record.failed.iter().filter(only_here).count()
-            }
+            State::Good => self.against(node, record),
         };
         let probed = record.state == State::Probed;
         let room = self.quarantined < (total / QUARANTINE_SHARE).max(1);
@@ -181,19 +169,39 @@
         }
         for job in std::mem::take(&mut record.failed) {
             if let Some(history) = self.jobs.get_mut(&job) {
-                history.failures = history.failures.saturating_sub(1);
+                history.at.remove(node);
             }
         }
         Some(Change::Quarantined(node.clone()))
     }
 
+    /// Returns how much speaks against a worker: the jobs that fail nowhere else, and a job
+    /// that fails here again and again, since it can be tested elsewhere.
+    fn against(&self, node: &Node, record: &Record) -> usize {
+        let mut jobs = 0;
+        let mut repeats = 0;
+        for &job in &record.failed {
+            let Some(history) = self.jobs.get(&job) else {
+                jobs += 1;
+                continue;
+            };
+            let elsewhere = history.at.keys().any(|other| other != node && self.speaks(job, other));
+            if !elsewhere {
+                jobs += 1;
+                repeats = repeats.max(history.at.get(node).copied().unwrap_or(0));
+            }
+        }
+        jobs.max(usize::try_from(repeats).unwrap_or(usize::MAX))
+    }
+
     fn judge_job(&self, job: Job, total: usize) -> Verdict {
         let Some(history) = self.jobs.get(&job) else {
             return Verdict::Retry;
         };
-        let points: u32 = history.at.iter().map(|node| self.points(job, node)).sum();
+        let points: u32 = history.at.keys().map(|node| self.points(job, node)).sum();
+        let failures: u32 = history.at.values().sum();
         let everywhere = history.at.len() >= total;
-        if points >= POINTS || everywhere || history.failures >= FAILURES {
+        if points >= POINTS || everywhere || failures >= FAILURES {
             return Verdict::AtFault;
         }
         Verdict::Retry
--- a/persimmondrift/src/place/claim.rs
+++ b/persimmondrift/src/place/claim.rs
@@ -19,7 +19,7 @@
         if self.homes.list[index].slots.is_none() {
             return false;
         }
-        self.move_home(index);
+        self.move_home(job, index);
         let Some(home) = self.homes.list[index].slots.clone() else {
             return false;
         };
@@ -29,20 +29,33 @@
         true
     }
 
-    /// Moves a home to accelerators that are free, if there are enough.
-    fn move_home(&mut self, index: usize) {
+    /// Moves a home to accelerators that are free, or off workers at which the job has failed.
+    fn move_home(&mut self, job: Job, index: usize) {
         let Some(before) = self.homes.list[index].slots.clone() else {
             return;
         };
         let shape = self.homes.list[index].promise.shape;
         self.homes.vacate(&mut self.ledger, index);
-        let room = |_: WorkerKey, worker: &Worker| {
-            if worker.healthy() { worker.firm_room() } else { Room::default() }
-        };
-        let found = fit::find(&self.ledger, &shape, room).map(|(slots, _)| slots);
+        let mut found = self.find_home(job, &shape, Worker::firm_room);
+        if found.is_none() && before.iter().any(|slot| self.avoids(job, slot.worker)) {
+            found = self.find_home(job, &shape, Worker::home_room);
+        }
         self.homes.place(&mut self.ledger, index, found.unwrap_or(before));
     }
 
+    fn find_home(
+        &self,
+        job: Job,
+        shape: &Shape,
+        room: impl Fn(&Worker) -> Room,
+    ) -> Option<Vec<Slot>> {
+        let room = |key: WorkerKey, worker: &Worker| {
+            let fit = worker.healthy() && !self.avoids(job, key);
+            if fit { room(worker) } else { Room::default() }
+        };
+        fit::find(&self.ledger, shape, room).map(|(slots, _)| slots)
+    }
+
     /// Promises a place to a job: others leave it, then the job starts.
     pub(super) fn promise(
         &mut self,
--- a/persimmondrift/src/place/evict.rs
+++ b/persimmondrift/src/place/evict.rs
@@ -1,6 +1,7 @@
 //! Eviction: which running jobs leave so that another one fits.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::ledger::{Room, Slot, Worker, WorkerKey, lowest_bits};
 use super::planner::{Entry, Planner, State};
@@ -45,14 +46,31 @@
         self.evictable(job) && self.jobs.get(&job).is_some_and(fair)
     }
 
-    /// Returns whether a job may be made to leave for one that is not urgent.
+    /// Returns whether a job may be made to leave for a larger one that has waited longer.
     pub(super) fn yields_to(&self, now: Time, entry: &Entry, job: Job) -> bool {
-        let settle = std::time::Duration::from(self.policy.settle);
+        let newer =
+            |victim: &Entry| victim.waited < entry.wait(now) && victim.total() < entry.total();
+        self.settled(now, entry, job) && self.jobs.get(&job).is_some_and(newer)
+    }
+
+    /// Returns whether a job may be made to leave for one that is over long before it.
+    pub(super) fn outlasts(&self, now: Time, entry: &Entry, job: Job) -> bool {
+        let aged = Duration::from(self.policy.protect_after);
+        let least = entry.left(now).mul_f64(self.policy.outlast);
+        let outlasts = |victim: &Entry| victim.waited < aged && victim.left(now) >= least;
+        self.settled(now, entry, job) && self.jobs.get(&job).is_some_and(outlasts)
+    }
+
+    /// Returns whether a job of no higher class has run for a while, has one to go, and keeps
+    /// its progress: jobs that lose it would take turns for ever.
+    fn settled(&self, now: Time, entry: &Entry, job: Job) -> bool {
+        let settle = Duration::from(self.policy.settle);
         let fair = |victim: &Entry| {
             victim.spec.class >= entry.spec.class
+                && victim.spec.eviction == Eviction::Checkpoint
                 && victim.state == State::Running
                 && now.since(victim.started) >= settle
-                && victim.left(now) >= entry.left(now).min(settle)
+                && victim.left(now) >= settle
         };
         self.evictable(job) && self.jobs.get(&job).is_some_and(fair)
     }
@@ -65,23 +83,26 @@
         if entry.state == State::Leaving {
             return 0.0;
         }
-        let mut seconds = std::time::Duration::from(self.policy.move_cost).as_secs_f64();
+        let mut seconds = Duration::from(self.policy.move_cost).as_secs_f64();
         if entry.spec.eviction == Eviction::Stop {
             seconds += now.since(entry.started).as_secs_f64();
         }
-        seconds * entry.total()
+        seconds * entry.total() * f64::from(1 + entry.evictions)
     }
 
     /// Finds the cheapest place that becomes free when jobs leave.
     pub(super) fn clear(
         &self,
         now: Time,
+        job: Job,
         spec: &Spec,
         yields: impl Fn(Job) -> bool,
     ) -> Option<Clearing> {
         let mut best: Option<Clearing> = None;
         let mut consider = |keys: &[WorkerKey]| {
-            let clearing = self.clear_domain(now, keys, spec, &yields);
+            let fit: Vec<WorkerKey> =
+                keys.iter().copied().filter(|&key| !self.avoids(job, key)).collect();
+            let clearing = self.clear_domain(now, &fit, spec, &yields);
             if let Some(clearing) = clearing
                 && best.as_ref().is_none_or(|best| clearing.cost < best.cost)
             {
--- a/persimmondrift/src/place/planner.rs
+++ b/persimmondrift/src/place/planner.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::estimate::{self, Estimates};
+use super::fit;
 use super::home::{Home, Homes, Kept, Promise};
-use super::ledger::{Ledger, Slot, WorkerKey};
+use super::ledger::{Ledger, Room, Slot, Worker, WorkerKey};
 use super::reserve::Reservation;
 use super::{Cause, Effect, Eviction, Outcome, Policy, Reason, Seat, Share, Spec, Summary};
 use crate::gang::{Holding, LEASE};
@@ -38,8 +39,10 @@
 pub(super) struct Entry {
     pub spec: Spec,
     pub submitted: Time,
-    /// Since when it waits or runs.
+    /// Since when it waits.
     pub since: Time,
+    /// How long it waited before its attempts so far.
+    pub waited: Duration,
     pub attempt: Attempt,
     pub state: State,
     /// The place it holds or is promised.
@@ -54,7 +57,11 @@
     pub started: Time,
     pub not_before: Time,
     pub pauses: u32,
+    /// How often it left its place for another job.
+    pub evictions: u32,
     pub cancelled: bool,
+    /// Workers at which it has failed.
+    pub avoid: BTreeSet<Node>,
 }
 
 impl Entry {
@@ -67,6 +74,14 @@
         estimate::left(self.expected, ran)
     }
 
+    /// Returns how long it has waited in all.
+    pub fn wait(&self, now: Time) -> Duration {
+        match self.state {
+            State::Running | State::Leaving => self.waited,
+            State::Waiting | State::Promised => self.waited + now.since(self.since),
+        }
+    }
+
     /// Returns the accelerators of all parts.
     pub fn total(&self) -> f64 {
         f64::from(self.spec.shape.total().0.max(1))
@@ -197,6 +212,7 @@
             spec,
             submitted: now,
             since: now,
+            waited: Duration::ZERO,
             attempt: Attempt(0),
             state: State::Waiting,
             slots: Vec::new(),
@@ -206,7 +222,9 @@
             started: now,
             not_before: now,
             pauses: 0,
+            evictions: 0,
             cancelled: false,
+            avoid: BTreeSet::new(),
         };
         self.jobs.insert(job, entry);
         self.waiting.insert(job);
@@ -329,12 +347,35 @@
         let (verdict, change) = self.health.failed(now, job, node, total);
         let effects: Vec<Effect> = change.into_iter().filter_map(|c| self.judged(c)).collect();
         self.leave(Some(now), job);
+        self.avoid(job, node);
         if cancelled || verdict == Verdict::AtFault {
             self.forget(job);
         }
         (verdict, effects)
     }
 
+    /// Keeps a job off a worker at which it failed, as long as its shape fits elsewhere.
+    fn avoid(&mut self, job: Job, node: &Node) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.avoid.insert(node.clone());
+        }
+        let fits = |planner: &Self| {
+            let shape = planner.jobs.get(&job).map(|entry| entry.spec.shape);
+            let room = |key: WorkerKey, worker: &Worker| {
+                if planner.avoids(job, key) { Room::default() } else { worker.all }
+            };
+            shape.is_some_and(|shape| fit::find(&planner.ledger, &shape, room).is_some())
+        };
+        for keep in [vec![node.clone()], Vec::new()] {
+            if fits(self) {
+                return;
+            }
+            if let Some(entry) = self.jobs.get_mut(&job) {
+                entry.avoid = keep.into_iter().collect();
+            }
+        }
+    }
+
     /// Cancels a job; a running attempt is stopped. Doing it again changes nothing.
     pub fn cancel(&mut self, job: Job) -> Vec<Effect> {
         let Some(entry) = self.jobs.get_mut(&job) else {
@@ -382,6 +423,12 @@
         self.ledger.workers.values().map(|worker| worker.all.mask.count_ones()).sum()
     }
 
+    /// Returns the accelerators of the largest worker.
+    pub(super) fn largest_worker(&self) -> u32 {
+        let all = self.ledger.workers.values().map(|worker| worker.all.mask.count_ones());
+        all.max().unwrap_or(0)
+    }
+
     /// Gives a job its place.
     pub(super) fn begin(&mut self, now: Time, job: Job, slots: Vec<Slot>, reason: Reason) {
         let Some(entry) = self.jobs.get_mut(&job) else {
@@ -391,6 +438,7 @@
         self.ledger.hold(job, &slots, &shape);
         entry.slots = slots;
         entry.state = State::Running;
+        entry.waited += now.since(entry.since);
         entry.started = now;
         entry.reason = reason;
         entry.attempt = Attempt(entry.attempt.0 + 1);
@@ -433,6 +481,9 @@
             return None;
         }
         entry.state = State::Leaving;
+        if matches!(cause, Cause::Claimed | Cause::Urgent | Cause::Reserved) {
+            entry.evictions += 1;
+        }
         self.changed = true;
         Some(Effect::Stop { job, attempt: entry.attempt, cause })
     }
--- a/persimmondrift/src/place/policy.rs
+++ b/persimmondrift/src/place/policy.rs
@@ -19,12 +19,16 @@
     pub share_weight: f64,
     /// Wait after which a job that does not fit gets a reservation.
     pub reserve_after: Millis,
+    /// Wait in all after which a running job no longer leaves for one that is not urgent.
+    pub protect_after: Millis,
     /// Reservations at one time.
     pub reservations: usize,
     /// Run time that each evicted accelerator is taken to lose.
     pub move_cost: Millis,
-    /// Factor by which the wait saved must exceed what the evicted lose.
+    /// Factor by which the wait of an aged job that is saved must exceed what the evicted lose.
     pub move_gain: f64,
+    /// The same for a short job that takes the place of long ones.
+    pub displace_gain: f64,
     /// Factor by which evicted jobs must outlast the job that takes their place.
     pub outlast: f64,
     /// Time that a job runs before it may be evicted for a job that is not urgent.
@@ -47,24 +51,19 @@
             interactive_weight: 4.0,
             share_weight: 0.5,
             reserve_after: Millis(600_000),
-            reservations: 2,
+            protect_after: Millis(900_000),
+            reservations: 1,
             move_cost: Millis(20_000),
-            move_gain: 2.0,
+            move_gain: 10.0,
+            displace_gain: 5.0,
             outlast: 2.0,
-            settle: Millis(60_000),
+            settle: Millis(180_000),
         }
     }
 
     /// Returns the weights for little fragmentation and short waits of large jobs.
     #[must_use]
     pub fn fragmentation() -> Self {
-        Self {
-            size_exponent: -0.5,
-            run_exponent: 0.5,
-            reserve_after: Millis(60_000),
-            reservations: 4,
-            move_gain: 1.0,
-            ..Self::completion()
-        }
+        Self { reservations: 3, move_gain: 5.0, settle: Millis(60_000), ..Self::completion() }
     }
 }
--- a/persimmondrift/src/place/queue.rs
+++ b/persimmondrift/src/place/queue.rs
@@ -111,7 +111,7 @@
         let share = unit * self.weight(&entry.spec.workspace);
         let used = f64::from(self.used_by(&entry.spec.workspace)) / f64::max(share, 1.0);
         let fairness = 1.0 / (1.0 + policy.share_weight * used);
-        let aging = 1.0 + now.since(entry.since).as_secs_f64() / AGING;
+        let aging = 1.0 + entry.wait(now).as_secs_f64() / AGING;
         let run = entry.left(now).as_secs_f64().powf(policy.run_exponent);
         let size = entry.total().powf(policy.size_exponent);
         class * fairness * aging / (run * size)
--- a/persimmondrift/src/place/start.rs
+++ b/persimmondrift/src/place/start.rs
@@ -106,7 +106,7 @@
         if !self.within_limit(&spec.workspace, &spec.shape) {
             return;
         }
-        let clearing = self.clear(now, &spec, |other| self.yields_to_urgent(&spec, other));
+        let clearing = self.clear(now, job, &spec, |other| self.yields_to_urgent(&spec, other));
         if let Some(clearing) = clearing {
             self.promise(now, job, clearing.slots, Reason::Evicted, Cause::Urgent, effects);
         }
@@ -137,16 +137,21 @@
         }
     }
 
-    /// Returns the jobs that have waited long, the longest first.
+    /// Returns the large jobs that were submitted long ago, the oldest first.
+    ///
+    /// A job is large if it needs as much as the largest worker has; smaller ones find their
+    /// place by their rank.
     fn aged(&self, now: Time, jobs: &[Job]) -> Vec<Job> {
         let after = Duration::from(self.policy.reserve_after);
+        let large = self.largest_worker();
         let mut aged: Vec<(Time, Job)> = Vec::new();
         for &job in jobs {
             if let Some(entry) = self.jobs.get(&job)
-                && now.since(entry.since) >= after
+                && now.since(entry.submitted) >= after
+                && entry.spec.shape.total().0 >= large
                 && self.may_run(job)
             {
-                aged.push((entry.since, job));
+                aged.push((entry.submitted, job));
             }
         }
         aged.sort_unstable();
@@ -203,17 +208,23 @@
     }
 
     /// Returns what a worker offers to a job.
-    fn room(&self, job: Job, worker: &Worker, firm: bool) -> Room {
-        let avoided = worker
-            .node
-            .as_ref()
-            .is_none_or(|node| self.health.failed_at(job).any(|failed| failed == node));
-        if !worker.healthy() || avoided {
+    fn room(&self, job: Job, key: WorkerKey, worker: &Worker, firm: bool) -> Room {
+        if !worker.healthy() || self.avoids(job, key) {
             return Room::default();
         }
         if firm { worker.firm_room() } else { worker.free() }
     }
 
+    /// Returns whether a job has failed at a worker.
+    pub(super) fn avoids(&self, job: Job, key: WorkerKey) -> bool {
+        let avoid = self.jobs.get(&job).map(|entry| &entry.avoid);
+        let Some(avoid) = avoid.filter(|avoid| !avoid.is_empty()) else {
+            return false;
+        };
+        let node = self.ledger.workers.get(key).and_then(|worker| worker.node.as_ref());
+        node.is_some_and(|node| avoid.contains(node))
+    }
+
     /// Finds a worker that waits for a probe, for a job that is fit to be one.
     fn probe(&self, job: Job, entry: &Entry) -> Option<(Vec<Slot>, Reason)> {
         let fit_for_probe = entry.spec.shape.parts == 1
@@ -238,7 +249,7 @@
         kept: impl Fn(WorkerKey) -> u64,
     ) -> Option<(Vec<Slot>, Reason)> {
         fit::find(&self.ledger, shape, |key, worker| {
-            let mut room = self.room(job, worker, firm);
+            let mut room = self.room(job, key, worker, firm);
             room.mask &= !kept(key);
             room
         })
@@ -267,7 +278,7 @@
             return;
         };
         let gain = entry.total() * at.since(now).as_secs_f64();
-        let clearing = self.clear(now, &entry.spec, |other| self.yields_to(now, entry, other));
+        let clearing = self.clear(now, job, &entry.spec, |other| self.yields_to(now, entry, other));
         if let Some(clearing) = clearing
             && clearing.cost * self.policy.move_gain < gain
         {
@@ -284,11 +295,8 @@
             return;
         };
         let left = entry.left(now);
-        let outlasts = |other: Job| {
-            self.yields_to(now, entry, other)
-                && self.jobs[&other].left(now) >= left.mul_f64(self.policy.outlast)
-        };
-        let Some(clearing) = self.clear(now, &entry.spec, outlasts) else {
+        let outlasts = |other: Job| self.outlasts(now, entry, other);
+        let Some(clearing) = self.clear(now, job, &entry.spec, outlasts) else {
             return;
         };
         if clearing.victims.is_empty() {
@@ -299,7 +307,7 @@
         };
         let count = u32::try_from(clearing.victims.len()).unwrap_or(u32::MAX);
         let lost = (left + Duration::from(self.policy.move_cost)) * count;
-        if at.since(now) > lost.mul_f64(self.policy.move_gain) {
+        if at.since(now) > lost.mul_f64(self.policy.displace_gain) {
             self.promise(now, job, clearing.slots, Reason::Evicted, Cause::Reserved, effects);
         }
     }
--- a/persimmondrift/tests/queue_fairness.rs
+++ b/persimmondrift/tests/queue_fairness.rs
@@ -151,6 +151,42 @@
     panic!("the large job never started");
 }
 
+/// Two jobs that lose their progress when they leave once took turns for ever.
+#[test]
+fn stopped_jobs_do_not_take_turns() {
+    let mut planner = Planner::new(Policy::fragmentation());
+    let node = Node::try_from("worker-0").expect("valid");
+    let rack = Rack::try_from("rack-0").expect("valid");
+    planner.put_worker(&node, &rack, CAPACITY, true);
+    let mut ends: [Option<u64>; 3] = [None; 3];
+    let mut starts = [0; 3];
+    for (id, run) in [(0, 2_000), (1, 900), (2, 1_200)] {
+        let mut job = spec("desk", 1, 8, Class::Batch, run / 4);
+        job.eviction = Eviction::Stop;
+        planner.submit(later(id), Job(id), job);
+    }
+    for second in 0..20_000 {
+        for (job, _) in (0..).map(Job).zip(ends).filter(|(_, end)| *end == Some(second)) {
+            planner.ended(later(second), job, Outcome::Finished);
+        }
+        for effect in planner.step(later(second)) {
+            match effect {
+                Effect::Start { job, .. } => {
+                    let id = usize::try_from(job.0).expect("small");
+                    ends[id] = Some(second + [2_000, 900, 1_200][id]);
+                    starts[id] += 1;
+                }
+                Effect::Stop { job, attempt, .. } => {
+                    ends[usize::try_from(job.0).expect("small")] = None;
+                    planner.released(later(second), job, attempt);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!((0..3).all(|id| !planner.knows(Job(id))), "all have ended, after {starts:?} starts");
+}
+
 #[test]
 fn cancel_waves_leave_urgent_work_alone() {
     let mut planner = planner(3);
--- a/persimmondrift/tests/worker_health.rs
+++ b/persimmondrift/tests/worker_health.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use persimmondrift::health::{Change, Health, Verdict};
-use persimmondrift::unit::{Job, Node, Time};
+use persimmondrift::member::Capacity;
+use persimmondrift::place::{Adjacency, Class, Effect, Eviction, Planner, Policy, Shape, Spec};
+use persimmondrift::unit::{
+    Accelerators, Connections, Cores, Job, Mebibytes, Millis, Node, Rack, Slots, Time,
+};
 
 const WORKERS: u32 = 11;
 
@@ -98,6 +102,23 @@
     assert_eq!(fail(&mut health, first, 5), None, "its record is clean");
 }
 
+/// A claim whose only place was on a bad worker was blamed for the worker's failures.
+#[test]
+fn one_job_that_fails_again_and_again_is_tested_elsewhere() {
+    let mut health = Health::default();
+    let bad = node(0);
+    let retry = (Verdict::Retry, None);
+    assert_eq!(health.failed(Time(0), Job(1), &bad, 11), retry);
+    assert_eq!(health.failed(Time(0), Job(1), &bad, 11), retry);
+    let quarantined = Some(Change::Quarantined(bad.clone()));
+    assert_eq!(health.failed(Time(0), Job(1), &bad, 11), (Verdict::Retry, quarantined));
+    for index in 1..6 {
+        assert_eq!(health.failed(Time(0), Job(1), &node(index), 11), retry);
+    }
+    let last = health.failed(Time(0), Job(1), &node(6), 11);
+    assert_eq!(last, (Verdict::AtFault, None), "it fails everywhere");
+}
+
 #[test]
 fn few_workers_are_quarantined_at_once() {
     let mut health = Health::default();
@@ -111,3 +132,49 @@
     }
     assert_eq!(quarantined, 2, "a fault of all workers is no fault of each");
 }
+
+/// A job of a whole rack that had failed once in each rack found no place any more.
+#[test]
+fn failures_leave_a_job_some_place() {
+    let capacity = Capacity {
+        slots: Slots(8),
+        connections: Connections(64),
+        accelerators: Accelerators(8),
+        cores: Cores(32),
+        memory: Mebibytes(1 << 17),
+    };
+    let mut planner = Planner::new(Policy::default());
+    for index in 0..9 {
+        let rack = Rack::try_from(format!("rack-{}", index / 3)).expect("valid");
+        planner.put_worker(&node(index), &rack, capacity, true);
+    }
+    let shape = Shape {
+        parts: 3,
+        accelerators: Accelerators(8),
+        cores: Cores(1),
+        memory: Mebibytes(1),
+        adjacency: Adjacency::Rack,
+    };
+    let spec = Spec {
+        workspace: "desk".parse().expect("valid"),
+        kind: "route".parse().expect("valid"),
+        shape,
+        class: Class::Batch,
+        eviction: Eviction::Stop,
+        run_ms: Millis(60_000),
+        claim: false,
+        zone: None,
+    };
+    planner.submit(Time(0), Job(1), spec);
+    let mut starts = 0;
+    for second in 0..60 {
+        for effect in planner.step(Time::from_secs(second)) {
+            if let Effect::Start { job, attempt, seats, .. } = effect {
+                starts += 1;
+                planner.failed(Time::from_secs(second), job, attempt, &seats[0].node);
+            }
+        }
+    }
+    assert!(starts > 3, "only {starts} starts");
+    assert!(!planner.knows(Job(1)), "the job is found at fault in the end");
+}
