--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -1,42 +1,39 @@
 //! The load and experiment tool.
 
 use anyhow::bail;
+use lexopt::Arg;
+use persimmon_load::{alone, demo, replay, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
 Commands:
-  demo                runs the whole path on loopback and ends by itself
-  replay [--tuning] [--policy FILE]
-                      replays job lists through the planner and two baselines
-  planner-cost        times steps of the planner from 11 to 22,000 workers
+  demo     runs the whole path on loopback and ends by itself
+  standin  table|target|worker --listen ADDRESS
+           runs a stand-in on loopback until it is ended
+  spread   measures the time until a configuration is in force everywhere, and what it costs;
+           [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
+  replay   replays job lists through the planner and two baselines;
+           [--tuning] [--policy FILE]
+  planner-cost
+           times steps of the planner by the size of its zone
 ";
 
 fn main() -> anyhow::Result<()> {
     let mut parser = lexopt::Parser::from_env();
-    match parser.next()? {
-        Some(lexopt::Arg::Value(command)) if command == "demo" => persimmon_load::demo::run(),
-        Some(lexopt::Arg::Value(command)) if command == "replay" => {
-            let mut tuning = false;
-            let mut policy = None;
-            while let Some(arg) = parser.next()? {
-                match arg {
-                    lexopt::Arg::Long("tuning") => tuning = true,
-                    lexopt::Arg::Long("policy") => {
-                        let text = std::fs::read_to_string(parser.value()?)?;
-                        policy = Some(toml::from_str(&text)?);
-                    }
-                    other => bail!("{}; see --help", other.unexpected()),
-                }
-            }
-            persimmon_load::replay::run(tuning, policy.as_ref())
-        }
-        Some(lexopt::Arg::Value(command)) if command == "planner-cost" => {
-            persimmon_load::replay::planner_cost()
-        }
-        None | Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
+    let command = match parser.next()? {
+        Some(Arg::Value(command)) => command,
+        None | Some(Arg::Long("help") | Arg::Short('h')) => {
             print!("{HELP}");
-            Ok(())
+            return Ok(());
         }
         Some(other) => bail!("{}; see --help", other.unexpected()),
+    };
+    match command.to_str() {
+        Some("demo") => demo::run(),
+        Some("standin") => alone::run(&mut parser),
+        Some("replay") => replay::run(parser),
+        Some("planner-cost") => replay::planner_cost(),
+        Some("spread") => spread::run(parser),
+        _ => bail!("{} is no command; see --help", command.display()),
     }
 }
--- a/persimmon-load/src/replay.rs
+++ b/persimmon-load/src/replay.rs
@@ -6,7 +6,8 @@
 mod list;
 mod run;
 
-use anyhow::ensure;
+use anyhow::{bail, ensure};
+use lexopt::Arg;
 use persimmondrift::place::Policy;
 
 pub use cost::run as planner_cost;
@@ -25,8 +26,24 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a claim was not honoured in time.
-pub fn run(tuning: bool, policy: Option<&Policy>) -> anyhow::Result<()> {
+/// Returns an error if an argument is malformed, or a claim was not honoured in time.
+pub fn run(mut parser: lexopt::Parser) -> anyhow::Result<()> {
+    let mut tuning = false;
+    let mut policy = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("tuning") => tuning = true,
+            Arg::Long("policy") => {
+                let text = std::fs::read_to_string(parser.value()?)?;
+                policy = Some(toml::from_str(&text)?);
+            }
+            other => bail!("{}; see --help", other.unexpected()),
+        }
+    }
+    show(tuning, policy.as_ref())
+}
+
+fn show(tuning: bool, policy: Option<&Policy>) -> anyhow::Result<()> {
     let seeds = if tuning { TUNING } else { HELD_OUT };
     let mut late = 0;
     for deployment in [Deployment::Soplo, Deployment::Kleenline] {
--- a/persimmon-load/src/replay/cost.rs
+++ b/persimmon-load/src/replay/cost.rs
@@ -12,10 +12,11 @@
 };
 
 /// Sizes that are measured: workers, and tasks that run.
-const SIZES: [(u32, u32); 6] =
-    [(11, 47), (110, 465), (440, 1_860), (880, 3_720), (4_400, 18_600), (22_000, 93_000)];
+///
+/// The largest comes first, so that the memory of the process grows with it alone.
+const SIZES: [(u32, u32); 5] = [(4_400, 18_600), (880, 3_720), (440, 1_860), (110, 465), (11, 47)];
 /// Steps that are timed for each size.
-const STEPS: u32 = 400;
+const STEPS: u32 = 100;
 /// Jobs that wait for each worker.
 const WAITING: f64 = 0.5;
 
@@ -29,8 +30,8 @@
         "| workers | accelerators | tasks | waiting | step p50 ms | step p99 ms | idle step us | cancel of 10,000 ms | bytes a task |"
     );
     println!("|---|---|---|---|---|---|---|---|---|");
-    for (workers, tasks) in SIZES {
-        measure(workers, tasks)?;
+    for (index, (workers, tasks)) in SIZES.into_iter().enumerate() {
+        measure(workers, tasks, index == 0)?;
     }
     Ok(())
 }
@@ -103,7 +104,7 @@
     (planner, sum)
 }
 
-fn measure(workers: u32, tasks: u32) -> anyhow::Result<()> {
+fn measure(workers: u32, tasks: u32, first: bool) -> anyhow::Result<()> {
     let mut rng = Rng::with_seed(u64::from(workers));
     let (mut planner, accelerators) = zone(workers);
     let mut now = Time::from_secs(1);
@@ -123,7 +124,8 @@
         parts += started(&planner.step(now), &mut running);
         now = now + Duration::from_secs(1);
     }
-    let memory = resident()?.saturating_sub(before) / u64::from(tasks);
+    let grown = resident()?.saturating_sub(before) / u64::from(tasks);
+    let memory = if first { grown.to_string() } else { "-".to_owned() };
     let waiting = wait_for_room(&mut planner, &mut rng, now, workers, &mut next);
     let mut times = Vec::new();
     for _ in 0..STEPS {
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -22,6 +22,8 @@
     Stopping = 102,
     /// A settings file is refused.
     SettingsRefused = 103,
+    /// A thread ended by a panic; the process ends.
+    Panicked = 104,
     /// A frame is malformed or over its bound.
     FrameRefused = 110,
     /// A request of a caller is malformed or over its bound.
@@ -34,6 +36,8 @@
     MemberRecovered = 203,
     /// A member is given up.
     MemberLost = 204,
+    /// A member that had said that it leaves is gone.
+    MemberLeft = 205,
     /// A target was chosen for a request.
     Routed = 301,
     /// No target was chosen for a request.
@@ -58,6 +62,10 @@
     Quarantined = 407,
     /// A quarantined worker is used again.
     TakenBack = 408,
+    /// A part of a job has ended at its worker.
+    PartEnded = 409,
+    /// An attempt of an earlier planner was found.
+    AttemptAdopted = 410,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
@@ -74,6 +82,10 @@
     StoreFailed = 601,
     /// The table service is back.
     StoreBack = 602,
+    /// A row or an object of the platform is malformed.
+    RowRefused = 603,
+    /// A whole configuration was taken over from a snapshot or another entry.
+    Adopted = 604,
 }
 
 impl fmt::Display for Event {
@@ -85,15 +97,17 @@
 /// Logs an event at the information level, with its number, name and text.
 #[macro_export]
 macro_rules! log {
-    ($event:ident, $($text:tt)+) => {
+    ($event:ident, $($text:tt)+) => {{
+        $crate::metric::event($crate::event::Event::$event);
         ::spdlog::info!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    };
+    }};
 }
 
 /// Logs an event at the warning level, with its number, name and text.
 #[macro_export]
 macro_rules! warn {
-    ($event:ident, $($text:tt)+) => {
+    ($event:ident, $($text:tt)+) => {{
+        $crate::metric::event($crate::event::Event::$event);
         ::spdlog::warn!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    };
+    }};
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod caller;
 pub mod fault;
+pub mod gang;
+pub mod object;
 pub mod table;
 pub mod target;
 pub mod worker;
