--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::bail;
 use lexopt::Arg;
-use persimmon_load::{alone, compare, demo, log_cost, run, spread};
+use persimmon_load::{alone, compare, demo, log_cost, replay, run, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
@@ -19,6 +19,10 @@
   log-cost measures what a log line costs the thread that writes it
   spread   measures the time until a configuration is in force everywhere, and what it costs;
            [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
+  replay   replays job lists through the planner and two baselines;
+           [--tuning] [--policy FILE]
+  planner-cost
+           times steps of the planner by the size of its zone
 ";
 
 fn main() -> anyhow::Result<()> {
@@ -37,6 +41,8 @@
         Some("run") => run::run(&mut parser),
         Some("compare") => compare::run(&mut parser),
         Some("log-cost") => log_cost::run(),
+        Some("replay") => replay::run(parser),
+        Some("planner-cost") => replay::planner_cost(),
         Some("spread") => spread::run(parser),
         _ => bail!("{} is no command; see --help", command.display()),
     }
