Mend the deadlock of a full entry; start only what can end in time

Cause: the place of a request was made before it was known whether there was one, and dropping it took a lock that was held: a full entry stood still. And requests were started so late that they could not end before their deadline.

--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -61,6 +61,7 @@
     pub entries: Vec<entry::Handle>,
     /// The workers.
     pub seats: Vec<Seat>,
+    layout: Layout,
 }
 
 impl Bench {
@@ -70,6 +71,19 @@
     ///
     /// Returns the error of the part that cannot start.
     pub fn start(layout: &Layout) -> anyhow::Result<Self> {
+        Self::start_between(layout, |_, entries| Ok(entries.to_vec()))
+    }
+
+    /// Starts a system in which `between` gives the addresses by which each agent, by its
+    /// index, knows the entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn start_between(
+        layout: &Layout,
+        mut between: impl FnMut(usize, &[SocketAddr]) -> anyhow::Result<Vec<SocketAddr>>,
+    ) -> anyhow::Result<Self> {
         let table = Table::start()?;
         let mut entries: Vec<entry::Handle> = Vec::new();
         for index in 0..layout.entries {
@@ -77,26 +91,41 @@
             let settings = entry_settings(layout, index, known, table.url())?;
             entries.push(entry::start(settings).context("entry")?);
         }
-        let mut seats = Vec::new();
         let known: Vec<SocketAddr> = entries.iter().map(entry::Handle::address).collect();
+        let mut seats = Vec::new();
         for index in 0..layout.workers {
-            let target = Target::start(layout.service_time)?;
-            let worker = Worker::start()?;
-            let node = Node::try_from(format!("{}-{index:02}", layout.service))?;
-            let agent = agent::start(settings::Agent {
-                node: node.clone(),
-                place: place(layout, index)?,
-                listen: any(),
-                entries: known.clone(),
-                service: layout.service.clone(),
-                target: target.url(),
-                worker: worker.url(),
-                capacity: CAPACITY,
-            })
-            .context("agent")?;
-            seats.push(Seat { node, agent, target, worker });
+            seats.push(start_seat(layout, index, between(index, &known)?)?);
         }
-        Ok(Self { table, entries, seats })
+        Ok(Self { table, entries, seats, layout: layout.clone() })
+    }
+
+    /// Stops an entry as planned and starts a new one at its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn replace_entry(&mut self, index: usize) -> anyhow::Result<()> {
+        let old = self.entries.remove(index);
+        let address = old.address();
+        old.stop();
+        let known = self.entries.iter().map(entry::Handle::address).collect();
+        let mut settings = entry_settings(&self.layout, index, known, self.table.url())?;
+        settings.listen = address;
+        self.entries.insert(index, entry::start(settings).context("entry")?);
+        Ok(())
+    }
+
+    /// Replaces an agent by a new one, at once and without a word.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn replace_agent(&mut self, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<()> {
+        let seat = &mut self.seats[index];
+        let (target, worker) = (seat.target.url(), seat.worker.url());
+        let new = start_agent(&self.layout, index, entries, target, worker)?;
+        std::mem::replace(&mut seat.agent, new).stop();
+        Ok(())
     }
 
     /// Stops everything, entries first.
@@ -113,6 +142,37 @@
     }
 }
 
+fn start_seat(layout: &Layout, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<Seat> {
+    let target = Target::start(layout.service_time)?;
+    let worker = Worker::start()?;
+    let agent = start_agent(layout, index, entries, target.url(), worker.url())?;
+    Ok(Seat { node: node(layout, index)?, agent, target, worker })
+}
+
+fn start_agent(
+    layout: &Layout,
+    index: usize,
+    entries: Vec<SocketAddr>,
+    target: String,
+    worker: String,
+) -> anyhow::Result<agent::Handle> {
+    agent::start(settings::Agent {
+        node: node(layout, index)?,
+        place: place(layout, index)?,
+        listen: any(),
+        entries,
+        service: layout.service.clone(),
+        target,
+        worker,
+        capacity: CAPACITY,
+    })
+    .context("agent")
+}
+
+fn node(layout: &Layout, index: usize) -> anyhow::Result<Node> {
+    Ok(Node::try_from(format!("{}-{index:02}", layout.service))?)
+}
+
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -125,7 +185,7 @@
 ) -> anyhow::Result<settings::Entry> {
     Ok(settings::Entry {
         node: Node::try_from(format!("entry-{index}"))?,
-        place: place(layout, index)?,
+        place: place(layout, index * RACK)?,
         callers: any(),
         operators: any(),
         listen: any(),
@@ -135,7 +195,7 @@
     })
 }
 
-/// Spreads members over the regions, rack by rack.
+/// Spreads members over the regions, rack by rack; entries count as a rack each.
 fn place(layout: &Layout, index: usize) -> anyhow::Result<Place> {
     let rack = index / RACK;
     let region = layout.regions[rack % layout.regions.len()].clone();
--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -1,4 +1,8 @@
 //! Load and experiments against the system, with stand-ins in place of everything outside.
 
+pub mod arrivals;
 pub mod bench;
 pub mod demo;
+pub mod request_faults;
+pub mod request_load;
+pub mod route_cost;
--- /dev/null
+++ b/persimmon-load/src/route_cost.rs
@@ -0,0 +1,91 @@
+//! Cost of a routing decision by the number of targets.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use persimmondrift::member::{Load, Place};
+use persimmondrift::route::{Facts, Index, Verdict};
+use persimmondrift::unit::{Boot, Bytes, Millis, Node, Rack, Region, Slots, Time, Zone};
+
+use crate::request_load::SERVICE;
+
+/// Decisions that are timed at each size.
+const DECISIONS: u32 = 1_000_000;
+/// Availability zones over which the targets are spread.
+const ZONES: usize = 25;
+/// Regions over which the zones are spread.
+const REGIONS: usize = 7;
+
+/// Prints the time of one decision, and of taking in one report, at several sizes.
+///
+/// # Errors
+///
+/// Returns an error if a name is malformed.
+pub fn run() -> anyhow::Result<()> {
+    for targets in [11, 110, 1_000, 10_000] {
+        let free = decide(targets, 0)?;
+        let full = decide(targets, 8)?;
+        let report = report(targets)?;
+        println!(
+            "cost: {targets} targets: {free} ns with room, {full} ns when all are full, {report} ns a report"
+        );
+    }
+    Ok(())
+}
+
+fn facts(index: usize, running: u32, number: u64) -> anyhow::Result<Facts> {
+    let zone = index % ZONES;
+    let wait = Millis(if running > 0 { 5 } else { 0 });
+    Ok(Facts {
+        node: Node::try_from(format!("target-{index}"))?,
+        boot: Boot(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        place: place(zone)?,
+        service: SERVICE.parse()?,
+        slots: Slots(8),
+        load: Load { running, waiting: 0, wait, number, uptime: Millis(60_000) },
+        open: true,
+    })
+}
+
+fn place(zone: usize) -> anyhow::Result<Place> {
+    Ok(Place {
+        region: Region::try_from(format!("region-{}", zone % REGIONS))?,
+        zone: Zone::try_from(format!("zone-{zone}"))?,
+        rack: Rack::try_from("rack")?,
+    })
+}
+
+fn filled(targets: usize, running: u32) -> anyhow::Result<Index> {
+    let mut index = Index::new(place(0)?);
+    for target in 0..targets {
+        index.learn(Time(0), facts(target, running, 1)?);
+    }
+    Ok(index)
+}
+
+/// Returns the nanoseconds of choosing a target and taking in its outcome.
+fn decide(targets: usize, running: u32) -> anyhow::Result<u128> {
+    let mut index = filled(targets, running)?;
+    let mut random = fastrand::Rng::with_seed(1);
+    let service = SERVICE.parse()?;
+    let begin = Instant::now();
+    for _ in 0..DECISIONS {
+        let choice = index.choose(Time(0), &service, Bytes(200), &[], &mut random)?;
+        index.conclude(Time(0), black_box(choice).key, Verdict::Good, None);
+    }
+    Ok(begin.elapsed().as_nanos() / u128::from(DECISIONS))
+}
+
+/// Returns the nanoseconds of taking in one report.
+fn report(targets: usize) -> anyhow::Result<u128> {
+    let mut index = filled(targets, 0)?;
+    let news: Vec<Facts> =
+        (0..targets).map(|target| facts(target, 1, 2)).collect::<Result<_, _>>()?;
+    let begin = Instant::now();
+    for facts in news {
+        index.learn(Time(0), facts);
+    }
+    Ok(begin.elapsed().as_nanos() / u128::try_from(targets)?)
+}
--- a/persimmondrift/src/admit/gate.rs
+++ b/persimmondrift/src/admit/gate.rs
@@ -80,7 +80,7 @@
         if self.expected(offer.class) > Duration::from(offer.budget) {
             return self.refuse(now, request, offer.admit_by, Cause::Overloaded);
         }
-        let deadline = now + offer.budget;
+        let deadline = self.latest_start(now, offer);
         if !self.queue.push(offer.class, deadline, request) {
             return self.refuse(now, request, offer.admit_by, Cause::QueueFull);
         }
@@ -184,6 +184,12 @@
         Duration::from_micros(work / u64::from(self.limit.slots.0.max(1)))
     }
 
+    /// Returns the time after which a request would not end within its budget.
+    fn latest_start(&self, now: Time, offer: Offer) -> Time {
+        let mean = Duration::from_micros(self.service[offer.class as usize]);
+        now + Duration::from(offer.budget).saturating_sub(mean)
+    }
+
     /// Returns the time until a new request of a class that waits would have ended.
     fn expected(&self, class: Class) -> Duration {
         self.expected_start(class) + Duration::from_micros(self.service[class as usize])
--- a/persimmondrift/src/entry/router.rs
+++ b/persimmondrift/src/entry/router.rs
@@ -44,7 +44,9 @@
 
     /// Takes a place for a request, if there is one.
     pub fn enter(&self, class: Class) -> Option<Seat<'_>> {
-        lock(&self.limit).take(class).then_some(Seat { router: self, class })
+        let taken = lock(&self.limit).take(class);
+        // Made only now: dropping one takes the lock.
+        taken.then(|| Seat { router: self, class })
     }
 
     /// Returns the requests in flight.
--- /dev/null
+++ b/persimmondrift/tests/entry_limit.rs
@@ -0,0 +1,104 @@
+//! An entry that is full refuses at once, and goes on.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::thread;
+use std::time::Duration;
+
+use persimmondrift::member::{Announce, Capacity, Load, Place, State};
+use persimmondrift::unit::{
+    Accelerators, Boot, Connections, Cores, Mebibytes, Millis, Sequence, Slots, Version,
+};
+use persimmondrift::wire::{self, Body, DATAGRAM_BYTES, Frame};
+use persimmondrift::{entry, settings};
+
+const SENT: usize = 300;
+const POLL: Duration = Duration::from_millis(20);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn place() -> Place {
+    Place {
+        region: "a".parse().expect("valid"),
+        zone: "a1".parse().expect("valid"),
+        rack: "r".parse().expect("valid"),
+    }
+}
+
+fn start_entry() -> entry::Handle {
+    entry::start(settings::Entry {
+        node: "entry".parse().expect("valid"),
+        place: place(),
+        callers: any(),
+        operators: any(),
+        listen: any(),
+        entries: Vec::new(),
+        table: "http://127.0.0.1:1".to_owned(),
+        tokens: Vec::new(),
+    })
+    .expect("started")
+}
+
+/// Announces an agent at an address that takes calls and never answers.
+fn announce(entry: SocketAddr, address: SocketAddr) {
+    let capacity = Capacity {
+        slots: Slots(1_000),
+        connections: Connections(1_000),
+        accelerators: Accelerators(0),
+        cores: Cores(1),
+        memory: Mebibytes(1),
+    };
+    let announce = Announce {
+        service: "shop".parse().expect("valid"),
+        place: place(),
+        address,
+        capacity,
+        load: Load { uptime: Millis(60_000), number: 1, ..Load::default() },
+        state: State::Serving,
+        version: Version(0),
+        tasks: Vec::new(),
+    };
+    let frame = Frame {
+        node: "agent".parse().expect("valid"),
+        boot: Boot(1),
+        sequence: Sequence(1),
+        body: Body::Announce(announce),
+    };
+    let bytes = wire::encode(&frame, DATAGRAM_BYTES).expect("encoded");
+    let socket = UdpSocket::bind(any()).expect("bound");
+    socket.send_to(&bytes, entry).expect("sent");
+}
+
+fn send(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("connected");
+    let text = "POST /shop/ HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\
+                Persimmon-Timeout-Ms: 1500\r\nConnection: close\r\n\r\n";
+    stream.write_all(text.as_bytes()).expect("sent");
+    stream
+}
+
+fn status(stream: TcpStream) -> String {
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).expect("a response");
+    line.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+#[test]
+fn a_full_entry_refuses_and_goes_on() {
+    let silent = TcpListener::bind(any()).expect("bound");
+    let entry = start_entry();
+    announce(entry.address(), silent.local_addr().expect("bound"));
+    while status(send(entry.callers())) == "404" {
+        thread::sleep(POLL);
+    }
+    let streams: Vec<TcpStream> = (0..SENT).map(|_| send(entry.callers())).collect();
+    let statuses: Vec<String> = streams.into_iter().map(status).collect();
+    let count = |wanted: &str| statuses.iter().filter(|status| *status == wanted).count();
+    assert_eq!(count("503") + count("504"), SENT, "{statuses:?}");
+    assert!(count("503") > 0 && count("504") > SENT / 2, "{statuses:?}");
+    assert_eq!(entry.in_flight(), 0, "all places are given back");
+    assert_eq!(status(send(entry.callers())), "504", "it goes on");
+    entry.stop();
+}
--- a/persimmondrift/tests/request_admission.rs
+++ b/persimmondrift/tests/request_admission.rs
@@ -162,6 +162,20 @@
     assert_eq!(gate.offer(now, offer(4, Interactive, now)), refused(4, Cause::Overloaded));
 }
 
+#[test]
+fn a_request_that_cannot_end_in_time_does_not_start() {
+    let mut now = Time::from_secs(1);
+    let mut gate = gate(1, 8);
+    fill(&mut gate, now, 1);
+    now = now + Millis(1_000);
+    gate.finish(now, Request(1_000), Ending::Whole);
+    assert_eq!(gate.offer(now, offer(1, Interactive, now)), Effect::Run(Request(1)));
+    assert_eq!(gate.offer(now, offer(2, Interactive, now)), Effect::Wait(Request(2)));
+    now = now + Millis(1_100);
+    let effects = gate.finish(now, Request(1), Ending::Whole);
+    assert_eq!(effects, [refused(2, Cause::Expired)], "900 ms are left of a second");
+}
+
 #[test]
 fn a_leaving_target_starts_nothing() {
     let now = Time::from_secs(1);
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -3,15 +3,43 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use persimmondrift::adapter::caller::{OUTCOME_HEADER, TIMEOUT_HEADER};
+use persimmondrift::adapter::caller::{CLASS_HEADER, KEY_HEADER, OUTCOME_HEADER, TIMEOUT_HEADER};
+
+/// Idle connections that a caller keeps.
+const IDLE: usize = 1_024;
+/// Time that a caller waits beyond what it tells the entry.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// A caller of one entry.
 #[derive(Debug, Clone)]
 pub struct Caller {
-    agent: ureq::Agent,
+    client: Client,
     entry: SocketAddr,
 }
 
+/// A caller of any entry, as behind a balancer.
+#[derive(Debug, Clone)]
+pub struct Client {
+    agent: ureq::Agent,
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Its own id, which the target counts.
+    pub id: &'a str,
+    /// The key that makes a repeated request the same one.
+    pub key: Option<&'a str>,
+    /// How urgent it is.
+    pub class: &'a str,
+    /// The time left for it.
+    pub timeout: Duration,
+    /// The body.
+    pub body: &'a [u8],
+}
+
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reply {
@@ -26,12 +54,8 @@
 impl Caller {
     /// Creates a caller that waits a little longer than it tells the entry.
     #[must_use]
-    pub fn new(entry: SocketAddr, timeout: Duration) -> Self {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_global(Some(timeout + Duration::from_secs(1)))
-            .build();
-        Self { agent: ureq::Agent::new_with_config(config), entry }
+    pub fn new(entry: SocketAddr, _timeout: Duration) -> Self {
+        Self { client: Client::default(), entry }
     }
 
     /// Posts a request with an id and a body.
@@ -46,15 +70,56 @@
         timeout: Duration,
         body: &[u8],
     ) -> Result<Reply, ureq::Error> {
-        let url = format!("http://{}/{service}/run?id={id}", self.entry);
-        let mut response = self
+        let ask = Ask { service, id, key: None, class: "interactive", timeout, body };
+        self.client.post(self.entry, &ask)
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(IDLE)
+            .max_idle_connections_per_host(IDLE)
+            .build();
+        Self { agent: ureq::Agent::new_with_config(config) }
+    }
+}
+
+impl Client {
+    /// Posts a request to an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the client if no whole response came.
+    pub fn post(&self, entry: SocketAddr, ask: &Ask<'_>) -> Result<Reply, ureq::Error> {
+        let url = format!("http://{entry}/{}/run?id={}", ask.service, ask.id);
+        let mut request = self
             .agent
             .post(&url)
-            .header(TIMEOUT_HEADER, timeout.as_millis().to_string())
-            .send(body)?;
+            .header(TIMEOUT_HEADER, ask.timeout.as_millis().to_string())
+            .header(CLASS_HEADER, ask.class);
+        if let Some(key) = ask.key {
+            request = request.header(KEY_HEADER, key);
+        }
+        let request = request.config().timeout_global(Some(ask.timeout + PATIENCE)).build();
+        let mut response = request.send(ask.body)?;
         let outcome = response.headers().get(OUTCOME_HEADER);
         let outcome = outcome.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
         let body = response.body_mut().read_to_vec()?;
         Ok(Reply { status: response.status().as_u16(), outcome, body })
     }
+
+    /// Posts a request directly to a target at a base URL.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the client if no whole response came.
+    pub fn post_direct(&self, target: &str, ask: &Ask<'_>) -> Result<Reply, ureq::Error> {
+        let url = format!("{target}/run?id={}", ask.id);
+        let request = self.agent.post(&url).config().timeout_global(Some(ask.timeout)).build();
+        let mut response = request.send(ask.body)?;
+        let body = response.body_mut().read_to_vec()?;
+        Ok(Reply { status: response.status().as_u16(), outcome: "answered".to_owned(), body })
+    }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod fault;
+pub mod relay;
 pub mod table;
 pub mod target;
 pub mod worker;
--- /dev/null
+++ b/standin/src/relay.rs
@@ -0,0 +1,223 @@
+//! A stand-in for the network between one agent and one entry, with faults in each frame.
+//!
+//! It relays datagrams both ways and puts its own TCP address into the agent's announcements,
+//! so that the entry's calls pass through it as well.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use persimmondrift::wire::{self, Body, DATAGRAM_BYTES, Frame};
+
+/// Time a receive call waits before it looks whether the relay stops.
+const POLL: Duration = Duration::from_millis(20);
+/// Time given to connect to the agent, and for the answer to a copy.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time by which a copy comes late.
+const LATE_MILLIS: u64 = 3_000;
+
+/// How often a call meets each fault, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Faults {
+    /// The call is lost, with its connection.
+    pub lose_call: u64,
+    /// The answer is lost, with its connection.
+    pub lose_answer: u64,
+    /// A copy of the call goes out at the same time.
+    pub double: u64,
+    /// A copy of the call goes out later, after others.
+    pub late_copy: u64,
+}
+
+struct Shared {
+    entry: SocketAddr,
+    datagrams: UdpSocket,
+    listener: TcpListener,
+    /// The addresses of the agent's UDP and TCP sockets.
+    agent: Mutex<Option<(SocketAddr, SocketAddr)>>,
+    faults: Faults,
+    drawn: AtomicU64,
+    met: AtomicU64,
+    stalled: AtomicBool,
+    stop: AtomicBool,
+}
+
+/// A running relay.
+pub struct Relay {
+    shared: Arc<Shared>,
+}
+
+impl Relay {
+    /// Starts a relay to an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start(entry: SocketAddr, faults: Faults, seed: u64) -> io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let datagrams = UdpSocket::bind(any)?;
+        datagrams.set_read_timeout(Some(POLL))?;
+        let shared = Arc::new(Shared {
+            entry,
+            datagrams,
+            listener: TcpListener::bind(any)?,
+            agent: Mutex::new(None),
+            faults,
+            drawn: AtomicU64::new(seed),
+            met: AtomicU64::new(0),
+            stalled: AtomicBool::new(false),
+            stop: AtomicBool::new(false),
+        });
+        let relay = Arc::clone(&shared);
+        thread::spawn(move || relay.relay_datagrams());
+        let relay = Arc::clone(&shared);
+        thread::spawn(move || relay.accept());
+        Ok(Self { shared })
+    }
+
+    /// Returns the address that takes the place of the entry's.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.shared.datagrams.local_addr()
+    }
+
+    /// Holds all frames back, or lets them go on.
+    pub fn stall(&self, stalled: bool) {
+        self.shared.stalled.store(stalled, Ordering::Relaxed);
+    }
+
+    /// Returns the number of calls that met a fault.
+    #[must_use]
+    pub fn met(&self) -> u64 {
+        self.shared.met.load(Ordering::Relaxed)
+    }
+
+    /// Stops the relay.
+    pub fn stop(&self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Ok(address) = self.shared.listener.local_addr() {
+            drop(TcpStream::connect(address));
+        }
+    }
+}
+
+impl Shared {
+    fn stops(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn wait_while_stalled(&self) {
+        while self.stalled.load(Ordering::Relaxed) && !self.stops() {
+            thread::sleep(POLL);
+        }
+    }
+
+    fn agent(&self) -> Option<(SocketAddr, SocketAddr)> {
+        *self.agent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn relay_datagrams(&self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        while !self.stops() {
+            let Ok((size, from)) = self.datagrams.recv_from(&mut buffer) else {
+                continue;
+            };
+            // A datagram that meets a stall is lost.
+            if self.stalled.load(Ordering::Relaxed) {
+                continue;
+            }
+            if from == self.entry {
+                if let Some((agent, _)) = self.agent() {
+                    let _ = self.datagrams.send_to(&buffer[..size], agent);
+                }
+            } else if let Ok(frame) = wire::decode(&buffer[..size]) {
+                self.relay_to_entry(from, frame);
+            }
+        }
+    }
+
+    fn relay_to_entry(&self, from: SocketAddr, mut frame: Frame) {
+        if let Body::Announce(announce) = &mut frame.body
+            && let Ok(own) = self.listener.local_addr()
+        {
+            let mut agent = self.agent.lock().unwrap_or_else(PoisonError::into_inner);
+            *agent = Some((from, announce.address));
+            announce.address = own;
+        }
+        if let Ok(bytes) = wire::encode(&frame, DATAGRAM_BYTES) {
+            let _ = self.datagrams.send_to(&bytes, self.entry);
+        }
+    }
+
+    fn accept(self: &Arc<Self>) {
+        while !self.stops() {
+            let Ok((stream, _)) = self.listener.accept() else {
+                continue;
+            };
+            let relay = Arc::clone(self);
+            thread::spawn(move || relay.relay_calls(&stream));
+        }
+    }
+
+    /// Relays calls and their answers until one is lost or a side closes.
+    fn relay_calls(self: &Arc<Self>, entry: &TcpStream) -> Option<()> {
+        let (_, to) = self.agent()?;
+        let agent = TcpStream::connect_timeout(&to, TIMEOUT).ok()?;
+        for stream in [entry, &agent] {
+            stream.set_nodelay(true).ok()?;
+        }
+        while !self.stops() {
+            let frame = wire::read(entry).ok()?;
+            self.wait_while_stalled();
+            if self.meets(self.faults.lose_call) {
+                return None;
+            }
+            if self.meets(self.faults.double) {
+                self.copy(to, frame.clone(), Duration::ZERO);
+            }
+            if self.meets(self.faults.late_copy) {
+                let delay = Duration::from_millis(self.draw() % LATE_MILLIS);
+                self.copy(to, frame.clone(), delay);
+            }
+            wire::write(&agent, &frame).ok()?;
+            let answer = wire::read(&agent).ok()?;
+            self.wait_while_stalled();
+            if self.meets(self.faults.lose_answer) {
+                return None;
+            }
+            wire::write(entry, &answer).ok()?;
+        }
+        None
+    }
+
+    /// Sends a copy of a frame on a connection of its own.
+    fn copy(&self, to: SocketAddr, frame: Frame, delay: Duration) {
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let stream = TcpStream::connect_timeout(&to, TIMEOUT).ok()?;
+            stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+            wire::write(&stream, &frame).ok()?;
+            wire::read(&stream).ok()
+        });
+    }
+
+    fn meets(&self, thousandths: u64) -> bool {
+        let met = self.draw() % 1_000 < thousandths;
+        self.met.fetch_add(u64::from(met), Ordering::Relaxed);
+        met
+    }
+
+    /// Returns the next number of a fixed sequence (`splitmix64`).
+    fn draw(&self) -> u64 {
+        let state = self.drawn.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
