--- a/persimmondrift/tests/entry_limit.rs
+++ b/persimmondrift/tests/entry_limit.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use persimmondrift::member::{Announce, Capacity, Load, Place, State};
+use persimmondrift::member::{ANNOUNCE_EVERY, Announce, Capacity, Load, Place, State};
 use persimmondrift::unit::{
     Accelerators, Boot, Connections, Cores, Mebibytes, Millis, Sequence, Slots, Version,
 };
@@ -13,6 +13,7 @@
 use persimmondrift::{entry, settings};
 
 const SENT: usize = 300;
+const ANNOUNCEMENTS: u64 = 100;
 const POLL: Duration = Duration::from_millis(20);
 
 fn any() -> SocketAddr {
@@ -42,7 +43,7 @@
 }
 
 /// Announces an agent at an address that takes calls and never answers.
-fn announce(entry: SocketAddr, address: SocketAddr) {
+fn announce(entry: SocketAddr, address: SocketAddr, number: u64) {
     let capacity = Capacity {
         slots: Slots(1_000),
         connections: Connections(1_000),
@@ -55,7 +56,7 @@
         place: place(),
         address,
         capacity,
-        load: Load { uptime: Millis(60_000), number: 1, ..Load::default() },
+        load: Load { uptime: Millis(60_000), number, ..Load::default() },
         state: State::Serving,
         version: Version(0),
         tasks: Vec::new(),
@@ -63,7 +64,7 @@
     let frame = Frame {
         node: "agent".parse().expect("valid"),
         boot: Boot(1),
-        sequence: Sequence(1),
+        sequence: Sequence(number),
         body: Body::Announce(announce),
     };
     let bytes = wire::encode(&frame, DATAGRAM_BYTES).expect("encoded");
@@ -88,8 +89,16 @@
 #[test]
 fn a_full_entry_refuses_and_goes_on() {
     let silent = TcpListener::bind(any()).expect("bound");
+    let address = silent.local_addr().expect("bound");
+    thread::spawn(move || silent.incoming().collect::<Vec<_>>());
     let entry = start_entry();
-    announce(entry.address(), silent.local_addr().expect("bound"));
+    let known = entry.address();
+    thread::spawn(move || {
+        for number in 1..=ANNOUNCEMENTS {
+            announce(known, address, number);
+            thread::sleep(ANNOUNCE_EVERY);
+        }
+    });
     while status(send(entry.callers())) == "404" {
         thread::sleep(POLL);
     }
