--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -9,6 +9,7 @@
     Accelerators, Connections, Cores, Mebibytes, Node, Rack, Region, Service, Slots, Zone,
 };
 use persimmondrift::{agent, entry, settings};
+use standin::object::Objects;
 use standin::table::Table;
 use standin::target::Target;
 use standin::worker::Worker;
@@ -57,6 +58,8 @@
 pub struct Bench {
     /// The table service.
     pub table: Table,
+    /// The object store.
+    pub objects: Objects,
     /// The entries.
     pub entries: Vec<entry::Handle>,
     /// The workers.
@@ -85,10 +88,11 @@
         mut between: impl FnMut(usize, &[SocketAddr]) -> anyhow::Result<Vec<SocketAddr>>,
     ) -> anyhow::Result<Self> {
         let table = Table::start()?;
+        let objects = Objects::start()?;
         let mut entries: Vec<entry::Handle> = Vec::new();
         for index in 0..layout.entries {
             let known = entries.iter().map(entry::Handle::address).collect();
-            let settings = entry_settings(layout, index, known, table.url())?;
+            let settings = entry_settings(layout, index, known, (table.url(), objects.url()))?;
             entries.push(entry::start(settings).context("entry")?);
         }
         let known: Vec<SocketAddr> = entries.iter().map(entry::Handle::address).collect();
@@ -96,7 +100,7 @@
         for index in 0..layout.workers {
             seats.push(start_seat(layout, index, between(index, &known)?)?);
         }
-        Ok(Self { table, entries, seats, layout: layout.clone() })
+        Ok(Self { table, objects, entries, seats, layout: layout.clone() })
     }
 
     /// Stops an entry as planned and starts a new one at its address.
@@ -109,7 +113,8 @@
         let address = old.address();
         old.stop();
         let known = self.entries.iter().map(entry::Handle::address).collect();
-        let mut settings = entry_settings(&self.layout, index, known, self.table.url())?;
+        let stores = (self.table.url(), self.objects.url());
+        let mut settings = entry_settings(&self.layout, index, known, stores)?;
         settings.listen = address;
         self.entries.insert(index, entry::start(settings).context("entry")?);
         Ok(())
@@ -123,7 +128,8 @@
     pub fn replace_agent(&mut self, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<()> {
         let seat = &mut self.seats[index];
         let (target, worker) = (seat.target.url(), seat.worker.url());
-        let new = start_agent(&self.layout, index, entries, target, worker)?;
+        let settings = agent_settings(&self.layout, index, entries, (target, worker))?;
+        let new = agent::start(settings).context("agent")?;
         std::mem::replace(&mut seat.agent, new).stop();
         Ok(())
     }
@@ -139,38 +145,17 @@
             seat.worker.stop();
         }
         self.table.stop();
+        self.objects.stop();
     }
 }
 
 fn start_seat(layout: &Layout, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<Seat> {
     let target = Target::start(layout.service_time)?;
     let worker = Worker::start()?;
-    let agent = start_agent(layout, index, entries, target.url(), worker.url())?;
-    Ok(Seat { node: node(layout, index)?, agent, target, worker })
-}
-
-fn start_agent(
-    layout: &Layout,
-    index: usize,
-    entries: Vec<SocketAddr>,
-    target: String,
-    worker: String,
-) -> anyhow::Result<agent::Handle> {
-    agent::start(settings::Agent {
-        node: node(layout, index)?,
-        place: place(layout, index)?,
-        listen: any(),
-        entries,
-        service: layout.service.clone(),
-        target,
-        worker,
-        capacity: CAPACITY,
-    })
-    .context("agent")
-}
-
-fn node(layout: &Layout, index: usize) -> anyhow::Result<Node> {
-    Ok(Node::try_from(format!("{}-{index:02}", layout.service))?)
+    let settings = agent_settings(layout, index, entries, (target.url(), worker.url()))?;
+    let node = settings.node.clone();
+    let agent = agent::start(settings).context("agent")?;
+    Ok(Seat { node, agent, target, worker })
 }
 
 fn any() -> SocketAddr {
@@ -181,7 +166,7 @@
     layout: &Layout,
     index: usize,
     entries: Vec<SocketAddr>,
-    table: String,
+    (table, objects): (String, String),
 ) -> anyhow::Result<settings::Entry> {
     Ok(settings::Entry {
         node: Node::try_from(format!("entry-{index}"))?,
@@ -191,7 +176,29 @@
         listen: any(),
         entries,
         table,
+        objects,
         tokens: vec![settings::Token { operator: "founder".parse()?, secret: TOKEN.to_owned() }],
+        process: settings::Process::default(),
+    })
+}
+
+/// Returns the settings of an agent.
+pub(crate) fn agent_settings(
+    layout: &Layout,
+    index: usize,
+    entries: Vec<SocketAddr>,
+    (target, worker): (String, String),
+) -> anyhow::Result<settings::Agent> {
+    Ok(settings::Agent {
+        node: Node::try_from(format!("{}-{index:02}", layout.service))?,
+        place: place(layout, index)?,
+        listen: any(),
+        entries,
+        service: layout.service.clone(),
+        target,
+        worker,
+        capacity: CAPACITY,
+        process: settings::Process::default(),
     })
 }
 
--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod request_faults;
 pub mod request_load;
 pub mod route_cost;
+pub mod spread;
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -8,6 +8,8 @@
   demo             runs the whole path on loopback and ends by itself
   requests [NAME]  measures requests: cost, added, overload, failing, regions, leaving,
                    faults, or all
+  spread           measures the time until a configuration is in force everywhere, and what it costs;
+          [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
 ";
 
 fn main() -> anyhow::Result<()> {
@@ -24,6 +26,9 @@
             spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
             persimmon_load::request_load::run(&name)
         }
+        Some(lexopt::Arg::Value(command)) if command == "spread" => {
+            persimmon_load::spread::run(parser)
+        }
         None | Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
             print!("{HELP}");
             Ok(())
--- a/persimmondrift/src/adapter.rs
+++ b/persimmondrift/src/adapter.rs
@@ -2,9 +2,11 @@
 
 pub mod caller;
 pub mod link;
+pub mod object;
 pub mod operator;
 pub mod table;
 pub mod target;
+pub mod watch;
 pub mod worker;
 
 use std::io::Read;
@@ -74,6 +76,12 @@
         Ok(Self { address, thread, stop, join })
     }
 
+    /// Returns whether the server's thread has ended.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     /// Refuses new requests, and waits until those in flight have been answered.
     pub fn stop(self) {
         self.stop.store(true, Ordering::Relaxed);
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -10,10 +10,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::adapter::link::{Arrival, Link};
-use crate::adapter::{target, worker};
+use crate::adapter::link::{self, Arrival, Link, Traffic};
+use crate::adapter::{Http, target, watch, worker};
+use crate::metric::{self, value};
 use crate::settings;
-use crate::unit::{Boot, Time};
+use crate::unit::{Time, Version};
 use crate::wire::{self, Body};
 
 use self::core::{Core, Effect};
@@ -22,6 +23,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Pause between two looks at the parts of the worker.
 const LIST_EVERY: Duration = Duration::from_millis(200);
+/// Times that pause while the worker has no parts.
+const IDLE_LISTS: u32 = 5;
 /// Connections of entries served at once.
 const CONNECTIONS: usize = 512;
 /// Connections beyond those, which are told that there are too many.
@@ -38,12 +41,14 @@
     waiters: request::Waiters,
     origin: Instant,
     connections: Mutex<slab::Slab<TcpStream>>,
+    metrics: metric::Agent,
     stop: AtomicBool,
 }
 
 /// A running agent.
 pub struct Handle {
     shared: Arc<Shared>,
+    watch: Option<Http>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -53,12 +58,12 @@
 ///
 /// Returns the error of the socket that cannot be opened.
 pub fn start(settings: settings::Agent) -> std::io::Result<Handle> {
-    let boot = Boot(fastrand::u64(1..));
+    let boot = link::boot();
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
     let connections = usize::try_from(settings.capacity.connections.0).unwrap_or(usize::MAX);
     let shared = Arc::new(Shared {
-        core: Mutex::new(Core::new(&settings, link.address())),
+        core: Mutex::new(Core::new(&settings, boot, link.address())),
         target: target::client(connections),
         worker: worker::Client::new(&settings.worker),
         work,
@@ -67,6 +72,7 @@
         settings,
         origin: Instant::now(),
         connections: Mutex::default(),
+        metrics: metric::Agent::default(),
         stop: AtomicBool::new(false),
     });
     crate::log!(Started, "agent {} at {}", shared.settings.node, shared.link.address());
@@ -77,23 +83,64 @@
         spawn(&shared, Shared::list),
         spawn(&shared, move |shared| work::run(shared, &orders)),
     ];
-    Ok(Handle { shared, threads })
+    Ok(Handle { watch: start_watch(&shared)?, shared, threads })
+}
+
+fn start_watch(shared: &Arc<Shared>) -> std::io::Result<Option<Http>> {
+    let Some(listen) = shared.settings.process.watch else {
+        return Ok(None);
+    };
+    let (ready, measured) = (Arc::clone(shared), Arc::clone(shared));
+    watch::start(listen, move || ready.core().ready(), move || measured.render()).map(Some)
 }
 
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Arc<Shared>) + Send + 'static) -> JoinHandle<()> {
     let shared = Arc::clone(shared);
-    thread::spawn(move || run(&shared))
+    let name = shared.settings.node.to_string();
+    let thread = thread::Builder::new().name(name);
+    thread.spawn(move || run(&shared)).expect("a thread can be started")
 }
 
 impl Handle {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.shared.core().version()
+    }
+
+    /// Returns what was sent to and received from other processes, requests excepted.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.shared.link.traffic()
+    }
+
+    /// Drops a share of the datagrams that arrive, in thousandths. For tests.
+    pub fn lose(&self, thousandths: u32) {
+        self.shared.link.lose(thousandths);
+    }
+
     /// Returns the address of the agent.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.shared.link.address()
     }
 
+    /// Returns the address for health, readiness and metrics, if there is one.
+    #[must_use]
+    pub fn watch(&self) -> Option<SocketAddr> {
+        self.watch.as_ref().map(|http| http.address)
+    }
+
+    /// Returns whether a thread has ended that runs until the stop.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+            || self.watch.as_ref().is_some_and(Http::failed)
+    }
+
     /// Takes nothing new; what runs goes on.
     pub fn leave(&self) {
+        crate::log!(Stopping, "agent {}", self.shared.settings.node);
         let now = self.shared.now();
         let effects = self.shared.core().leave(now);
         self.shared.perform(effects);
@@ -114,10 +161,13 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
         // The accept call waits for a connection: this one wakes it.
-        drop(crate::adapter::link::connect(self.address(), TICK));
+        drop(link::connect(self.address(), TICK));
         for thread in self.threads {
             let _ = thread.join();
         }
+        if let Some(watch) = self.watch {
+            watch.stop();
+        }
     }
 
     /// Leaves, waits until nothing runs or the time is over, then stops.
@@ -132,6 +182,20 @@
 }
 
 impl Shared {
+    fn render(&self) -> String {
+        let metrics = &self.metrics;
+        {
+            let core = self.core();
+            metrics.version.set(value(core.version().0));
+            metrics.slots.set(self.settings.capacity.slots.0.into());
+            metrics.running.set(core.gate.running().into());
+            metrics.waiting.set(value(core.gate.waiting()));
+            metrics.parts.set(value(core.parts()));
+            metrics.leaving.set(core.leaving().into());
+        }
+        metrics.render()
+    }
+
     fn now(&self) -> Time {
         Time(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
@@ -204,13 +268,19 @@
 
     fn list(self: &Arc<Self>) {
         while !self.stops() {
-            thread::sleep(LIST_EVERY);
-            if self.core().runs_parts()
-                && let Ok(listed) = self.worker.list()
-            {
-                let effects = self.core().listed(&listed);
+            let asked = self.now();
+            if let Ok(listed) = self.worker.list() {
+                let now = self.now();
+                let effects = self.core().listed(now, asked, &listed);
                 self.perform(effects);
             }
+            thread::sleep(LIST_EVERY);
+            // A worker without parts is asked less often; a part that started late is found.
+            for _ in 1..IDLE_LISTS {
+                if !self.core().runs_parts() && !self.stops() {
+                    thread::sleep(LIST_EVERY);
+                }
+            }
         }
     }
 
--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -4,13 +4,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Shared;
-use super::core::Fetched;
 use crate::adapter::link::{self, Link};
 use crate::adapter::target;
 use crate::admit::{Call, Cause, Doubt, Effect, Ending, Offer, Outcome, Ticket};
+use crate::config::Update;
 use crate::unit::{Request, Time, Version};
 use crate::wire::{self, Body};
 
@@ -62,8 +62,9 @@
         }
         let body = match frame.body {
             Body::Call(call) => {
-                let request = call.ticket.request;
+                let (request, class, begin) = (call.ticket.request, call.class, Instant::now());
                 let outcome = if spare { refuse(shared, &call) } else { admit(shared, call) };
+                shared.metrics.request(outcome.word(), class, begin.elapsed());
                 let now = shared.now();
                 let load = shared.core().load(now);
                 Body::Outcome(request, outcome, load)
@@ -155,13 +156,13 @@
     outcome
 }
 
-/// Reads the records after a version from an entry.
-pub fn fetch(link: &Link, from: SocketAddr, version: Version) -> Fetched {
-    let read = || -> Result<Body, wire::Error> {
+/// Reads what follows a version from an entry; nothing if it does not answer.
+pub fn fetch(link: &Link, from: SocketAddr, version: Version) -> Option<Update> {
+    let read = || -> Result<Update, wire::Error> {
         let stream = link::connect(from, FETCH_TIMEOUT)?;
         stream.set_read_timeout(Some(FETCH_TIMEOUT))?;
-        wire::write(&stream, &link.frame(Body::Fetch(version)))?;
-        Ok(wire::read(&stream)?.body)
+        wire::write(&stream, &link.frame(Body::Follow(version)))?;
+        wire::read_update(&stream)
     };
-    read().map_or(Fetched::Nothing, Fetched::Body)
+    read().ok()
 }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -3,24 +3,27 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use super::lease::Seeker;
 use super::role::{self, Role};
 use super::table::Order;
-use crate::config::{Change, Config, Record};
-use crate::gang::Report;
-use crate::intent::{Draft, Supply};
+use crate::config::{self, Change, Config, Record, Update};
+use crate::gang::{Holding, Report};
+use crate::guarantee::Supply;
+use crate::intent::{self, Busy, Draft};
+use crate::journal::Held;
 use crate::member::{self, ANNOUNCE_EVERY, Announce, Judgement, Place, Presence, State, View};
-use crate::place::Outcome;
+use crate::place::{Eviction, Host};
 use crate::route::Facts;
 use crate::settings;
-use crate::unit::{Epoch, Job, Node, Plan, Time, Version, Zone};
+use crate::unit::{Epoch, Node, Plan, Time, Version, Zone};
 use crate::wire::{Body, Frame};
 
-/// Records that are kept for those who are a little behind.
-const RECORDS: usize = 1_024;
 /// Plans that are kept until they are confirmed.
 const DRAFTS: usize = 256;
-/// Ended jobs that are remembered for operators.
-const ENDED: usize = 1_024;
+/// Versions of the past that each push repeats, for those who missed one.
+const PUSH_BACK: u64 = 8;
+/// Largest push, in bytes: it goes in one packet of the network.
+const PUSH_BYTES: usize = 1_200;
 /// Time after the start of the process before it takes a planner role: by then all
 /// agents have announced themselves.
 const ROLE_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
@@ -32,6 +35,8 @@
     Send(SocketAddr, Body),
     /// Calls the table service.
     Table(Order),
+    /// Looks for new records now.
+    Wake,
     /// Tells the router what is known of a target.
     Learn(Box<Facts>),
     /// Tells the router that a target is gone.
@@ -53,7 +58,11 @@
     pub(super) records: VecDeque<Record>,
     pub(super) drafts: BTreeMap<Plan, Draft>,
     pub(super) roles: BTreeMap<Zone, Role>,
-    pub(super) ended: VecDeque<(Job, Outcome)>,
+    pub(super) seeker: Seeker,
+    /// Whether the configuration was read since the start, or cannot be known now.
+    pub(super) known: bool,
+    pub(super) leaving: bool,
+    pushed: Version,
 }
 
 impl Core {
@@ -72,7 +81,10 @@
             records: VecDeque::new(),
             drafts: BTreeMap::new(),
             roles: BTreeMap::new(),
-            ended: VecDeque::new(),
+            seeker: Seeker::default(),
+            known: false,
+            leaving: false,
+            pushed: Version(0),
         }
     }
 
@@ -82,14 +94,22 @@
         match frame.body {
             Body::Announce(announce) => {
                 let changes = self.agents.observe(now, from, source, announce);
-                self.agents_changed(now, changes)
+                let new = changes.iter().any(|change| matches!(change, member::Effect::Joined(_)));
+                let mut effects = self.agents_changed(now, changes);
+                if new {
+                    // It takes no work before it knows the configuration.
+                    effects.push(Effect::Send(from, Body::Presence(self.presence())));
+                }
+                effects
             }
             Body::Presence(presence) if frame.node != self.node => {
+                let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
                 log_changes(&changes);
-                Vec::new()
+                if ahead { vec![Effect::Wake] } else { Vec::new() }
             }
             Body::Report(report) => self.report(now, &frame.node, &report),
+            Body::Ask => vec![Effect::Send(from, Body::Presence(self.presence()))],
             _ => Vec::new(),
         }
     }
@@ -99,13 +119,20 @@
         let started = *self.started.get_or_insert(now);
         let changes = self.agents.tick(now);
         let mut effects = self.agents_changed(now, changes);
-        log_changes(&self.entries.tick(now));
+        let changes = self.entries.tick(now);
+        log_changes(&changes);
+        for change in &changes {
+            if let member::Effect::Doubted(node) = change {
+                effects.extend(ask(self.entries.get(node)));
+            }
+        }
         if self.announced.is_none_or(|last| now.since(last) >= ANNOUNCE_EVERY) {
             effects.extend(self.announce(now));
-            if now.since(started) >= ROLE_AFTER {
-                effects.extend(self.seek_roles());
+            if self.known && now.since(started) >= ROLE_AFTER {
+                effects.extend(self.seek_roles(now));
             }
         }
+        effects.extend(self.push());
         let mut asked = Vec::new();
         for role in self.roles.values_mut() {
             asked.extend(role.tick(now));
@@ -132,18 +159,11 @@
                 if let Change::Drain { node } | Change::Undrain { node } = change {
                     learned.extend(self.learn(node));
                 }
-                if let Change::End { job, outcome } = change {
-                    self.ended.push_back((*job, *outcome));
-                    self.ended.truncate(ENDED);
-                }
                 for role in self.roles.values_mut() {
-                    effects.extend(role.change(now, change));
+                    effects.extend(role.change(now, change, &self.config));
                 }
             }
-            self.records.push_back(record);
-            while self.records.len() > RECORDS {
-                self.records.pop_front();
-            }
+            config::remember(&mut self.records, record);
         }
         learned.extend(self.carry_out(effects));
         learned
@@ -152,10 +172,11 @@
     /// Takes in that this entry holds the planner role of a zone.
     pub fn role_taken(&mut self, now: Time, zone: &Zone, epoch: Epoch) -> Vec<Effect> {
         crate::log!(RoleTaken, "zone {zone}, epoch {epoch}, {}", self.node);
-        let mut role = Role::new(zone.clone(), epoch);
+        let mut role = Role::new(now, zone.clone(), epoch);
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
-            role.put_worker(node, &member.said);
+            role.put_worker(now, node, member.boot, &member.said);
         }
+        role.configure(&self.config);
         for (&job, spec) in &self.config.jobs {
             role.submit(now, job, spec);
         }
@@ -164,25 +185,101 @@
     }
 
     /// Takes in whether an attempt was written to the table.
-    pub fn recorded(&mut self, now: Time, zone: &Zone, task: role::Try, ok: bool) -> Vec<Effect> {
-        let Some(role) = self.roles.get_mut(zone) else {
+    pub fn recorded(
+        &mut self,
+        now: Time,
+        zone: &Zone,
+        epoch: Epoch,
+        task: role::Try,
+        recorded: role::Recorded,
+    ) -> Vec<Effect> {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
             return Vec::new();
         };
-        let effects = role.recorded(now, task, ok);
+        let effects = role.recorded(now, task, recorded);
         self.carry_out(effects)
     }
 
-    /// Returns the records after a version, or the whole configuration.
-    pub fn since(&self, version: Version) -> Body {
-        if version >= self.config.version {
-            return Body::Records(Vec::new());
+    /// Takes in whether the planner role of a zone was found to be held under an epoch;
+    /// `None` if the table gave no answer.
+    pub fn role_checked(&mut self, zone: &Zone, epoch: Epoch, asked: Time, held: Option<bool>) {
+        let Some(role) = self.roles.get_mut(zone).filter(|role| role.epoch() == epoch) else {
+            return;
+        };
+        role.checked(asked, held == Some(true));
+        if held == Some(false) {
+            crate::log!(RoleLost, "zone {zone}, epoch {epoch} is over, {}", self.node);
+            self.roles.remove(zone);
+        }
+    }
+
+    /// Takes over a whole configuration that is newer than the one held.
+    ///
+    /// Planner roles are taken anew, so that they see all jobs.
+    pub fn adopt(&mut self, config: Config) -> Vec<Effect> {
+        if config.version <= self.config.version {
+            return Vec::new();
+        }
+        crate::log!(Adopted, "version {} at {}", config.version, self.node);
+        self.config = config;
+        self.records.clear();
+        self.roles.clear();
+        let nodes: Vec<&Node> = self.agents.iter().map(|(node, _)| node).collect();
+        nodes.into_iter().filter_map(|node| self.learn(node)).collect()
+    }
+
+    /// Takes in that another entry sent what it holds: if it knows the configuration, or had
+    /// any, this one knows it now.
+    pub fn learn_from(&mut self, address: SocketAddr) {
+        let mut from = self.entries.iter().filter(|(_, member)| member.address == address);
+        let knows = from.any(|(_, member)| member.said.known);
+        self.known |= knows || self.config.version > Version(0);
+    }
+
+    /// Takes in records that led to the configuration adopted.
+    pub fn remember(&mut self, records: Vec<Record>) {
+        for record in records {
+            config::remember(&mut self.records, record);
         }
-        let held = self.records.front().is_some_and(|first| first.version <= version.next());
-        if !held {
-            return Body::Whole(self.config.clone());
+    }
+
+    /// Returns the configuration in force.
+    pub fn version(&self) -> Version {
+        self.config.version
+    }
+
+    /// Returns the configuration and the records that led to it.
+    pub fn held(&self) -> Held<'_> {
+        Held { config: &self.config, records: &self.records }
+    }
+
+    /// Returns what leads another entry on from a version.
+    pub fn since(&self, version: Version) -> Update {
+        config::for_entry(&self.config, &self.records, version)
+    }
+
+    /// Returns what leads an agent on from a version.
+    pub fn follow(&self, version: Version) -> Update {
+        config::for_agent(&self.config, &self.records, version)
+    }
+
+    /// Returns the addresses of the other entries, those of the settings included.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let mut others: Vec<SocketAddr> = Vec::new();
+        others.extend(self.entries.alive().map(|(_, member)| member.address));
+        for &seed in &self.seeds {
+            if seed != self.address && !others.contains(&seed) {
+                others.push(seed);
+            }
         }
-        let later = self.records.iter().filter(|record| record.version > version);
-        Body::Records(later.cloned().collect())
+        others
+    }
+
+    /// Returns how many live entries come before this one in the order of names, and how many
+    /// there are with this one.
+    pub fn rank(&self) -> (usize, usize) {
+        let before = self.entries.alive().filter(|(node, _)| **node < self.node).count();
+        (before, self.entries.alive().count() + 1)
     }
 
     /// Keeps a plan until it is confirmed.
@@ -193,17 +290,61 @@
         }
     }
 
-    /// Returns the accelerators of healthy workers.
+    /// Returns the healthy workers of each zone.
     pub fn supply(&self) -> Supply {
         let mut supply = Supply::default();
-        for (_, member) in self.agents.alive() {
-            let accelerators = member.said.capacity.accelerators;
-            supply.accelerators += accelerators;
-            supply.largest = supply.largest.max(accelerators);
+        for (node, member) in self.agents.alive() {
+            let said = &member.said;
+            let host = Host {
+                node: node.clone(),
+                rack: said.place.rack.clone(),
+                capacity: said.capacity,
+                firm: self.firm(&said.tasks),
+            };
+            supply.zones.entry(said.place.zone.clone()).or_default().push(host);
         }
         supply
     }
 
+    /// Returns what is known of the system beside the configuration.
+    pub fn facts(&self) -> intent::Facts {
+        let mut nodes = std::collections::BTreeMap::new();
+        for (node, member) in self.agents.iter() {
+            let jobs = member.said.tasks.iter().map(|holding| holding.task.job).collect();
+            let service = Some(member.said.service.clone());
+            let requests = member.said.load.running;
+            nodes.insert(node.clone(), Busy { service, requests, jobs });
+        }
+        for (node, _) in self.entries.iter() {
+            nodes.insert(node.clone(), Busy::default());
+        }
+        intent::Facts { supply: self.supply(), nodes }
+    }
+
+    /// Sends what changed to the agents at once, if it is small; the others ask for it.
+    fn push(&mut self) -> Vec<Effect> {
+        if self.pushed >= self.config.settled {
+            return Vec::new();
+        }
+        let base = Version(self.pushed.0.saturating_sub(PUSH_BACK));
+        self.pushed = self.config.version;
+        let update = self.follow(base);
+        if matches!(update, Update::Whole(_)) || size(&update) > PUSH_BYTES {
+            return Vec::new();
+        }
+        let send = |address| Effect::Send(address, Body::Push(update.clone()));
+        self.agents.alive().map(|(_, member)| send(member.address)).collect()
+    }
+
+    /// Returns the accelerators held by jobs that cannot be evicted.
+    fn firm(&self, tasks: &[Holding]) -> u64 {
+        let never = |task: &&Holding| {
+            let spec = self.config.jobs.get(&task.task.job);
+            spec.is_some_and(|spec| spec.eviction == Eviction::Never && !spec.claim)
+        };
+        tasks.iter().filter(never).fold(0, |mask, task| mask | task.mask)
+    }
+
     fn report(&mut self, now: Time, node: &Node, report: &Report) -> Vec<Effect> {
         let Some(member) = self.agents.get(node) else {
             return Vec::new();
@@ -232,15 +373,23 @@
                     if let Some(member) = self.agents.get(&node)
                         && let Some(role) = self.roles.get_mut(&member.said.place.zone)
                     {
-                        role.put_worker(&node, &member.said);
+                        role.put_worker(now, &node, member.boot, &member.said);
                     }
                 }
-                member::Effect::Lost(node) => {
+                member::Effect::Lost(node) | member::Effect::Left(node) => {
                     for role in self.roles.values_mut() {
                         asked.extend(role.lost(now, &node));
                     }
                 }
-                member::Effect::Suspected(_) | member::Effect::Recovered(_) => {}
+                member::Effect::Suspected(node) => {
+                    for role in self.roles.values_mut() {
+                        role.suspected(&node);
+                    }
+                }
+                member::Effect::Doubted(node) => {
+                    effects.extend(ask(self.agents.get(&node)));
+                }
+                member::Effect::Recovered(_) => {}
             }
         }
         effects.extend(self.carry_out(asked));
@@ -250,7 +399,7 @@
     /// Returns what a change of the members means to the router.
     fn route_change(&self, change: &member::Effect) -> Option<Effect> {
         match change {
-            member::Effect::Lost(node) => {
+            member::Effect::Lost(node) | member::Effect::Left(node) => {
                 let member = self.agents.get(node)?;
                 Some(Effect::Forget(node.clone(), member.said.address))
             }
@@ -258,6 +407,7 @@
             | member::Effect::Updated(node)
             | member::Effect::Suspected(node)
             | member::Effect::Recovered(node) => self.learn(node),
+            member::Effect::Doubted(_) => None,
         }
     }
 
@@ -282,38 +432,49 @@
 
     fn announce(&mut self, now: Time) -> Vec<Effect> {
         self.announced = Some(now);
-        let presence = Presence {
-            place: self.place.clone(),
-            address: self.address,
-            state: State::Serving,
-            version: self.config.version,
-        };
-        let mut to: Vec<SocketAddr> = Vec::new();
-        to.extend(self.entries.alive().map(|(_, member)| member.address));
-        for &seed in &self.seeds {
-            if seed != self.address && !to.contains(&seed) {
-                to.push(seed);
-            }
-        }
+        let presence = self.presence();
+        let mut to = self.others();
         to.extend(self.agents.alive().map(|(_, member)| member.address));
         to.into_iter()
             .map(|address| Effect::Send(address, Body::Presence(presence.clone())))
             .collect()
     }
 
+    /// Tells the other entries what is in force here.
+    pub fn tell_entries(&self) -> Vec<Effect> {
+        let presence = self.presence();
+        let send = |address| Effect::Send(address, Body::Presence(presence.clone()));
+        self.others().into_iter().map(send).collect()
+    }
+
+    fn presence(&self) -> Presence {
+        Presence {
+            place: self.place.clone(),
+            address: self.address,
+            state: if self.leaving { State::Leaving } else { State::Serving },
+            known: self.known,
+            version: self.config.version,
+            settled: self.config.settled,
+        }
+    }
+
     /// Asks for the planner role of each zone that falls to this entry.
-    fn seek_roles(&self) -> Vec<Effect> {
-        let mut zones: Vec<&Zone> = Vec::new();
+    fn seek_roles(&mut self, now: Time) -> Vec<Effect> {
+        let mut zones: Vec<Zone> = Vec::new();
         for (_, member) in self.agents.alive() {
             let zone = &member.said.place.zone;
-            if !zones.contains(&zone) && !self.roles.contains_key(zone) {
-                zones.push(zone);
+            if !zones.contains(zone) && !self.roles.contains_key(zone) {
+                zones.push(zone.clone());
             }
         }
-        let entries: Vec<&Node> = self.entries.alive().map(|(node, _)| node).collect();
-        let mine = |zone: &&Zone| role::falls_to(zone, &self.node, &entries);
-        let seek = |zone: &Zone| Effect::Table(Order::TakeRole { zone: zone.clone() });
-        zones.into_iter().filter(mine).map(seek).collect()
+        let stay = || self.entries.alive().filter(|(_, m)| m.said.state == State::Serving);
+        let entries: Vec<&Node> = stay().map(|(node, _)| node).collect();
+        let alive = |node: &Node, boot| stay().any(|(n, m)| n == node && m.boot == boot);
+        zones.retain(|zone| {
+            let mine = role::falls_to(zone, &self.node, &entries);
+            mine && self.seeker.seeks(now, zone, alive)
+        });
+        zones.into_iter().map(|zone| Effect::Table(Order::TakeRole { zone })).collect()
     }
 
     fn carry_out(&self, asked: Vec<role::Effect>) -> Vec<Effect> {
@@ -325,8 +486,11 @@
                         effects.push(Effect::Send(member.address, Body::Command(command)));
                     }
                 }
-                role::Effect::Record { zone, epoch, task } => {
-                    effects.push(Effect::Table(Order::Record { zone, epoch, task }));
+                role::Effect::Check { zone, epoch, asked } => {
+                    effects.push(Effect::Table(Order::CheckRole { zone, epoch, asked }));
+                }
+                role::Effect::Record { zone, epoch, task, nodes } => {
+                    effects.push(Effect::Table(Order::Record { zone, epoch, task, nodes }));
                 }
                 role::Effect::End { job, outcome } => {
                     effects.push(Effect::Table(Order::End { job, outcome }));
@@ -337,6 +501,15 @@
     }
 }
 
+/// Asks a silent member whether it is there.
+fn ask<T>(member: Option<&member::Member<T>>) -> Option<Effect> {
+    member.map(|member| Effect::Send(member.address, Body::Ask))
+}
+
+fn size(update: &Update) -> usize {
+    postcard::to_stdvec(update).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 fn log_changes(changes: &[member::Effect]) {
     for change in changes {
         match change {
@@ -344,7 +517,8 @@
             member::Effect::Suspected(node) => crate::warn!(MemberSuspected, "{node}"),
             member::Effect::Recovered(node) => crate::log!(MemberRecovered, "{node}"),
             member::Effect::Lost(node) => crate::warn!(MemberLost, "{node}"),
-            member::Effect::Updated(_) => {}
+            member::Effect::Left(node) => crate::log!(MemberLeft, "{node}"),
+            member::Effect::Updated(_) | member::Effect::Doubted(_) => {}
         }
     }
 }
--- a/persimmondrift/tests/entry_limit.rs
+++ b/persimmondrift/tests/entry_limit.rs
@@ -37,7 +37,9 @@
         listen: any(),
         entries: Vec::new(),
         table: "http://127.0.0.1:1".to_owned(),
+        objects: "http://127.0.0.1:1".to_owned(),
         tokens: Vec::new(),
+        process: settings::Process::default(),
     })
     .expect("started")
 }
