--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load and experiments against the system, with stand-ins in place of everything outside.
 
+pub mod alone;
 pub mod arrivals;
 pub mod bench;
 pub mod demo;
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -1,38 +1,36 @@
 //! The load and experiment tool.
 
 use anyhow::bail;
+use lexopt::Arg;
+use persimmon_load::{alone, demo, request_load, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
 Commands:
-  demo             runs the whole path on loopback and ends by itself
-  requests [NAME]  measures requests: cost, added, overload, failing, regions, leaving,
-                   faults, or all
-  spread           measures the time until a configuration is in force everywhere, and what it costs;
-          [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
+  demo     runs the whole path on loopback and ends by itself
+  standin  table|target|worker --listen ADDRESS
+           runs a stand-in on loopback until it is ended
+  requests [NAME]
+           measures requests: cost, added, overload, failing, regions, leaving, faults or all
+  spread   measures the time until a configuration is in force everywhere, and what it costs;
+           [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
 ";
 
 fn main() -> anyhow::Result<()> {
     let mut parser = lexopt::Parser::from_env();
-    match parser.next()? {
-        Some(lexopt::Arg::Value(command)) if command == "demo" => persimmon_load::demo::run(),
-        Some(lexopt::Arg::Value(command)) if command == "requests" => {
-            let name = match parser.next()? {
-                None => "all".to_owned(),
-                Some(lexopt::Arg::Value(name)) => name.to_string_lossy().into_owned(),
-                Some(other) => bail!("{}; see --help", other.unexpected()),
-            };
-            // Log lines would hide the results.
-            spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
-            persimmon_load::request_load::run(&name)
-        }
-        Some(lexopt::Arg::Value(command)) if command == "spread" => {
-            persimmon_load::spread::run(parser)
-        }
-        None | Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
+    let command = match parser.next()? {
+        Some(Arg::Value(command)) => command,
+        None | Some(Arg::Long("help") | Arg::Short('h')) => {
             print!("{HELP}");
-            Ok(())
+            return Ok(());
         }
         Some(other) => bail!("{}; see --help", other.unexpected()),
+    };
+    match command.to_str() {
+        Some("demo") => demo::run(),
+        Some("standin") => alone::run(&mut parser),
+        Some("requests") => request_load::run_named(&mut parser),
+        Some("spread") => spread::run(parser),
+        _ => bail!("{} is no command; see --help", command.display()),
     }
 }
--- a/persimmon-load/src/request_load.rs
+++ b/persimmon-load/src/request_load.rs
@@ -28,6 +28,22 @@
 /// The classes of a mixed load.
 const MIXED: [(&str, u64); 3] = [("urgent", 10), ("interactive", 60), ("batch", 30)];
 
+/// Runs the experiment that the command line names, or all.
+///
+/// # Errors
+///
+/// Returns the error of the command line or of the first experiment that does not hold.
+pub fn run_named(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
+    let name = match parser.next()? {
+        None => "all".to_owned(),
+        Some(lexopt::Arg::Value(name)) => name.to_string_lossy().into_owned(),
+        Some(other) => bail!("{}; see --help", other.unexpected()),
+    };
+    // Log lines would hide the results.
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    run(&name)
+}
+
 /// Runs an experiment by its name, or all.
 ///
 /// # Errors
--- a/persimmon-load/tests/process_stop.rs
+++ b/persimmon-load/tests/process_stop.rs
@@ -9,6 +9,8 @@
 use standin::caller::Caller;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of requests that may meet a process that is gone.
+const SOON: Duration = Duration::from_secs(1);
 const POLL: Duration = Duration::from_millis(10);
 const SERVICE: &str = "order-desk";
 
@@ -70,9 +72,9 @@
     thread::scope(|scope| {
         for _ in 0..4 {
             scope.spawn(|| {
-                let caller = Caller::new(callers, TIMEOUT);
+                let caller = Caller::new(callers, SOON);
                 while !over.load(Ordering::Relaxed) {
-                    if let Ok(reply) = caller.post(SERVICE, "load", TIMEOUT, b"") {
+                    if let Ok(reply) = caller.post(SERVICE, "load", SOON, b"") {
                         // A refusal of the stopping process carries no outcome: it never ran.
                         assert!(reply.outcome == "answered" || reply.status == 503);
                     }
