Claim callers' keys in the table before their requests run

Cause: the same Idempotency-Key sent through two entries ran twice. Weighed: a key owner by rendezvous hashing (two owners at once when entries are replaced, and nothing survives them) against a conditional row for each key; the row was taken. While the table is away nothing is claimed and nothing runs.

--- a/persimmon-load/src/request_faults.rs
+++ b/persimmon-load/src/request_faults.rs
@@ -113,9 +113,9 @@
                 bench.replace_agent(seat, known?)?;
             }
             1 => {
-                links.iter().for_each(|relay| relay.stall(true));
+                stall(links, true);
                 thread::sleep(PAUSE * 2);
-                links.iter().for_each(|relay| relay.stall(false));
+                stall(links, false);
             }
             2 => {
                 bench.seats[seat].target.switch.set(Some(Fault::Pause));
@@ -144,6 +144,12 @@
     Ok(count)
 }
 
+fn stall(links: &[Relay], stalled: bool) {
+    for relay in links {
+        relay.stall(stalled);
+    }
+}
+
 fn check(bench: &Bench, samples: &[Sample]) -> Tally {
     let mut ran: BTreeMap<String, u32> = BTreeMap::new();
     for seat in &bench.seats {
@@ -151,8 +157,8 @@
             *ran.entry(id).or_default() += times;
         }
     }
-    let mut tally = Tally::default();
-    tally.ran_twice = ran.values().filter(|times| **times > 1).count();
+    let ran_twice = ran.values().filter(|times| **times > 1).count();
+    let mut tally = Tally { ran_twice, ..Tally::default() };
     for sample in samples {
         let times = ran.get(&sample.id).copied().unwrap_or(0);
         let told_not_run = ["not-run", "refused"].contains(&sample.outcome());
--- a/persimmon-load/src/request_load.rs
+++ b/persimmon-load/src/request_load.rs
@@ -28,6 +28,8 @@
 /// The classes of a mixed load.
 const MIXED: [(&str, u64); 3] = [("urgent", 10), ("interactive", 60), ("batch", 30)];
 
+type Experiment = fn() -> anyhow::Result<()>;
+
 /// Runs the experiment that the command line names, or all.
 ///
 /// # Errors
@@ -50,7 +52,7 @@
 ///
 /// Returns the error of the first experiment that cannot run, or whose checks do not hold.
 pub fn run(name: &str) -> anyhow::Result<()> {
-    let experiments: [(&str, fn() -> anyhow::Result<()>); 7] = [
+    let experiments: [(&str, Experiment); 7] = [
         ("cost", route_cost::run),
         ("added", added),
         ("overload", overload),
@@ -172,7 +174,7 @@
         sample.is_good() && end >= from && end < to
     };
     let good = u32::try_from(samples.iter().filter(within).count()).unwrap_or(u32::MAX);
-    let rate = f64::from(good) / (to - from).as_secs_f64();
+    let rate = f64::from(good) / to.saturating_sub(from).as_secs_f64();
     println!("  goodput {rate:.0}/s, {:.1}% of {bound:.0}/s", 100.0 * rate / bound);
 }
 
@@ -271,12 +273,12 @@
     println!(
         "leaving: calls at the target: {at_leave} at the start, then each second {after:?}; {told}"
     );
-    stop_with_many(&mut bench, &entries)?;
+    stop_with_many(&mut bench, &entries);
     bench.stop();
     Ok(())
 }
 
-fn stop_with_many(bench: &mut Bench, entries: &RwLock<Vec<SocketAddr>>) -> anyhow::Result<()> {
+fn stop_with_many(bench: &mut Bench, entries: &RwLock<Vec<SocketAddr>>) {
     // Slower targets keep more than 500 requests in flight.
     for seat in &bench.seats {
         seat.target.switch.set(Some(Fault::Delay(Duration::from_millis(950))));
@@ -299,5 +301,4 @@
         samples.len(),
         outcomes(samples.iter())
     );
-    Ok(())
 }
--- a/persimmondrift/src/adapter/caller.rs
+++ b/persimmondrift/src/adapter/caller.rs
@@ -4,6 +4,7 @@
 
 use super::{BodyError, read_body};
 use crate::admit::{Answer, Cause, Outcome};
+use crate::claim::Conflict;
 use crate::place::Class;
 use crate::unit::{Millis, Service};
 use crate::{retry, route};
@@ -75,6 +76,12 @@
     /// Too many requests of its class are in flight at this entry.
     #[error("too many requests of this class are in flight at this entry")]
     Full,
+    /// A key cannot be claimed, because the table service is away.
+    #[error("the key cannot be claimed: the table service is away")]
+    TableAway,
+    /// An earlier request with the same key is in the way.
+    #[error("{0}")]
+    Claim(#[from] Conflict),
     /// The entry is stopping.
     #[error("this entry is stopping")]
     Stopping,
@@ -183,8 +190,9 @@
         }
         Conclusion::Refused(refusal) => {
             let status = status_of(&refusal);
-            let response = told(status, "refused", refusal.to_string());
-            if status == 503 { with_pause(response, class) } else { response }
+            let response = told(status, word_of(&refusal), refusal.to_string());
+            let again = status == 503 || refusal == Refusal::Claim(Conflict::InFlight);
+            if again { with_pause(response, class) } else { response }
         }
     }
 }
@@ -203,11 +211,24 @@
     match refusal {
         Refusal::Body(BodyError::Size) => 413,
         Refusal::Service | Refusal::Route(route::Error::NoTarget) => 404,
-        Refusal::Route(route::Error::NoneOpen) | Refusal::Full | Refusal::Stopping => 503,
+        Refusal::Route(route::Error::NoneOpen)
+        | Refusal::Full
+        | Refusal::TableAway
+        | Refusal::Stopping => 503,
+        Refusal::Claim(Conflict::Reused) => 422,
+        Refusal::Claim(_) => 409,
         Refusal::Class | Refusal::Timeout | Refusal::Key | Refusal::Body(BodyError::Cut) => 400,
     }
 }
 
+/// Returns the outcome of a refusal: a request with the same key may have run.
+fn word_of(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::Claim(Conflict::NotKept | Conflict::Unknown | Conflict::InFlight) => "repeated",
+        _ => "refused",
+    }
+}
+
 fn with_pause(response: Response, class: Class) -> Response {
     let seconds = retry::pause(class).0.div_ceil(1_000);
     response.with_additional_header("Retry-After", seconds.to_string())
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -1,6 +1,8 @@
 //! The entry process: callers' requests, operators' intents, and the planner role of zones.
 
+mod claim;
 mod core;
+mod keyed;
 mod lease;
 mod log;
 mod operate;
@@ -54,6 +56,7 @@
     table: Table,
     objects: Objects,
     work: mpsc::Sender<table::Order>,
+    claims: mpsc::Sender<claim::Order>,
     log: mpsc::Sender<log::Order>,
     origin: Instant,
     leaving: AtomicBool,
@@ -79,6 +82,7 @@
     let boot = link::boot();
     let link = Link::open(settings.node.clone(), boot, settings.listen)?;
     let (work, orders) = mpsc::channel();
+    let (claims, wishes) = mpsc::channel();
     let metrics = metric::Entry::default();
     let (log, log_orders) = mpsc::channel();
     let shared = Arc::new(Shared {
@@ -89,6 +93,7 @@
         table: Table::new(metrics.watch_store(platform::calls(&settings.table))),
         objects: object::calls(&settings.objects),
         work,
+        claims,
         log,
         link,
         settings,
@@ -102,6 +107,7 @@
         spawn(&shared, Shared::accept),
         spawn(&shared, Shared::tick),
         spawn(&shared, move |shared| table::run(shared, &orders)),
+        spawn(&shared, move |shared| claim::run(shared, &wishes)),
         spawn(&shared, move |shared| log::run(shared, &log_orders)),
     ];
     shared.wait_for_configuration();
--- a/persimmondrift/src/entry/request.rs
+++ b/persimmondrift/src/entry/request.rs
@@ -3,8 +3,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use super::Shared;
 use super::pool::Pool;
+use super::{Shared, keyed};
 use crate::adapter::caller::{Ask, Conclusion, Refusal};
 use crate::admit::{ADMIT_WITHIN, CLOCK_SLACK, Call, Cause, Doubt, Outcome, Ticket};
 use crate::member::Load;
@@ -34,26 +34,36 @@
     let Some(_seat) = shared.router.enter(ask.class) else {
         return Conclusion::Refused(Refusal::Full);
     };
-    let mut journey = begin(shared, ask);
-    shared.router.earn(&journey.service);
-    carry(shared, &mut journey)
+    let deadline = shared.now() + timeout_of(shared, &ask);
+    let run = |ask| {
+        let mut journey = begin(shared, ask, deadline);
+        shared.router.earn(&journey.service);
+        carry(shared, &mut journey)
+    };
+    match ask.key.clone() {
+        Some(key) if !ask.is_idempotent() => keyed::conclude(shared, ask, &key, deadline, run),
+        _ => run(ask),
+    }
 }
 
-fn begin(shared: &Shared, ask: Ask) -> Journey {
+fn timeout_of(shared: &Shared, ask: &Ask) -> Millis {
     let configured = {
         let core = shared.core();
         core.config.services.get(&ask.service).map(|serving| Millis(serving.timeout_ms))
     };
-    let timeout = ask.timeout.or(configured).unwrap_or(DEFAULT_TIMEOUT);
+    ask.timeout.or(configured).unwrap_or(DEFAULT_TIMEOUT)
+}
+
+fn begin(shared: &Shared, ask: Ask, deadline: Time) -> Journey {
     let request = Request(shared.random().u128(..));
     Journey {
         idempotent: ask.is_idempotent(),
-        deadline: shared.now() + timeout,
+        deadline,
         size: Bytes(u64::try_from(ask.body.len()).unwrap_or(u64::MAX)),
         call: Call {
             ticket: Ticket { request, boot: Boot(0), admit_by: Millis(0) },
             class: ask.class,
-            budget: timeout,
+            budget: Millis(0),
             method: ask.method,
             path: ask.path,
             headers: ask.headers,
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -179,11 +179,11 @@
                 return None;
             }
             if self.meets(self.faults.double) {
-                self.copy(to, frame.clone(), Duration::ZERO);
+                copy(to, frame.clone(), Duration::ZERO);
             }
             if self.meets(self.faults.late_copy) {
                 let delay = Duration::from_millis(self.draw() % LATE_MILLIS);
-                self.copy(to, frame.clone(), delay);
+                copy(to, frame.clone(), delay);
             }
             wire::write(&agent, &frame).ok()?;
             let answer = wire::read(&agent).ok()?;
@@ -196,17 +196,6 @@
         None
     }
 
-    /// Sends a copy of a frame on a connection of its own.
-    fn copy(&self, to: SocketAddr, frame: Frame, delay: Duration) {
-        thread::spawn(move || {
-            thread::sleep(delay);
-            let stream = TcpStream::connect_timeout(&to, TIMEOUT).ok()?;
-            stream.set_read_timeout(Some(TIMEOUT)).ok()?;
-            wire::write(&stream, &frame).ok()?;
-            wire::read(&stream).ok()
-        });
-    }
-
     fn meets(&self, thousandths: u64) -> bool {
         let met = self.draw() % 1_000 < thousandths;
         self.met.fetch_add(u64::from(met), Ordering::Relaxed);
@@ -221,3 +210,14 @@
         mixed ^ (mixed >> 31)
     }
 }
+
+/// Sends a copy of a frame on a connection of its own.
+fn copy(to: SocketAddr, frame: Frame, delay: Duration) {
+    thread::spawn(move || {
+        thread::sleep(delay);
+        let stream = TcpStream::connect_timeout(&to, TIMEOUT).ok()?;
+        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+        wire::write(&stream, &frame).ok()?;
+        wire::read(&stream).ok()
+    });
+}
