--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -11,17 +11,23 @@
 use crate::guarantee::Supply;
 use crate::intent::{self, Busy, Draft};
 use crate::journal::Held;
-use crate::member::{self, ANNOUNCE_EVERY, Announce, Judgement, Place, Presence, State, View};
+use crate::member::{
+    self, ANNOUNCE_EVERY, Announce, Beat, Judgement, PRESENCE_EVERY, Place, Presence, State, View,
+};
 use crate::place::{Eviction, Host};
 use crate::route::Facts;
 use crate::settings;
-use crate::unit::{Epoch, Node, Plan, Time, Version, Zone};
+use crate::unit::{Boot, Epoch, Node, Plan, Sequence, Time, Version, Zone};
 use crate::wire::{Body, Frame};
 
 /// Plans that are kept until they are confirmed.
 const DRAFTS: usize = 256;
 /// Versions of the past that each push repeats, for those who missed one.
-const PUSH_BACK: u64 = 8;
+const PUSH_BACK: u64 = 3;
+/// Times that a push is sent again.
+const PUSH_REPEATS: u32 = 2;
+/// Pause before a push is sent again. By then agents have announced that they took it.
+const PUSH_AGAIN: std::time::Duration = std::time::Duration::from_millis(700);
 /// Largest push, in bytes: it goes in one packet of the network.
 const PUSH_BYTES: usize = 1_200;
 /// Time after the start of the process before it takes a planner role: by then all
@@ -63,6 +69,10 @@
     pub(super) known: bool,
     pub(super) leaving: bool,
     pushed: Version,
+    /// When the last push was sent, and how often it is sent again.
+    repeat: Option<(Time, u32)>,
+    /// When the agents were last told that this entry is there.
+    shown: Option<Time>,
 }
 
 impl Core {
@@ -85,6 +95,8 @@
             known: false,
             leaving: false,
             pushed: Version(0),
+            repeat: None,
+            shown: None,
         }
     }
 
@@ -102,6 +114,7 @@
                 }
                 effects
             }
+            Body::Beat(beat) => self.beat(now, from, source, beat),
             Body::Presence(presence) if frame.node != self.node => {
                 let ahead = presence.version > self.config.version;
                 let changes = self.entries.observe(now, from, source, presence);
@@ -114,6 +127,25 @@
         }
     }
 
+    /// Takes in that an agent has nothing new to say since a report. One whose report was lost
+    /// is asked for it.
+    fn beat(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        source: (&Node, Boot, Sequence),
+        beat: Beat,
+    ) -> Vec<Effect> {
+        let said = self.agents.get(source.0).map(|member| member.said.load.number);
+        if said != Some(beat.number) {
+            return vec![Effect::Send(from, Body::Ask)];
+        }
+        match self.agents.touch(now, source, |said| said.version = beat.version) {
+            Some(changes) => self.agents_changed(now, changes),
+            None => vec![Effect::Send(from, Body::Ask)],
+        }
+    }
+
     /// Judges silent members, announces, and drives the attempts.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         let started = *self.started.get_or_insert(now);
@@ -132,7 +164,7 @@
                 effects.extend(self.seek_roles(now));
             }
         }
-        effects.extend(self.push());
+        effects.extend(self.push(now));
         let mut asked = Vec::new();
         for role in self.roles.values_mut() {
             asked.extend(role.tick(now));
@@ -321,19 +353,25 @@
         intent::Facts { supply: self.supply(), nodes }
     }
 
-    /// Sends what changed to the agents at once, if it is small; the others ask for it.
-    fn push(&mut self) -> Vec<Effect> {
-        if self.pushed >= self.config.settled {
-            return Vec::new();
-        }
-        let base = Version(self.pushed.0.saturating_sub(PUSH_BACK));
+    /// Sends what changed to the agents at once, and twice more for those who missed it. What
+    /// is large, or was missed three times, they ask for at the next presence.
+    fn push(&mut self, now: Time) -> Vec<Effect> {
+        let left = match self.repeat {
+            _ if self.pushed < self.config.settled => PUSH_REPEATS,
+            Some((last, left)) if left > 0 && now.since(last) >= PUSH_AGAIN => left - 1,
+            _ => return Vec::new(),
+        };
+        self.repeat = Some((now, left));
+        let base = Version(self.pushed.0.min(self.config.settled.0).saturating_sub(PUSH_BACK));
         self.pushed = self.config.version;
         let update = self.follow(base);
         if matches!(update, Update::Whole(_)) || size(&update) > PUSH_BYTES {
             return Vec::new();
         }
+        let behind = |version: Version| left == PUSH_REPEATS || version < self.config.version;
+        let members = self.agents.alive().filter(|(_, member)| behind(member.said.version));
         let send = |address| Effect::Send(address, Body::Push(update.clone()));
-        self.agents.alive().map(|(_, member)| send(member.address)).collect()
+        members.map(|(_, member)| send(member.address)).collect()
     }
 
     /// Returns the accelerators held by jobs that cannot be evicted.
@@ -434,7 +472,10 @@
         self.announced = Some(now);
         let presence = self.presence();
         let mut to = self.others();
-        to.extend(self.agents.alive().map(|(_, member)| member.address));
+        if self.shown.is_none_or(|last| now.since(last) >= PRESENCE_EVERY) {
+            self.shown = Some(now);
+            to.extend(self.agents.alive().map(|(_, member)| member.address));
+        }
         to.into_iter()
             .map(|address| Effect::Send(address, Body::Presence(presence.clone())))
             .collect()
