--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -64,6 +64,7 @@
     pub entries: Vec<entry::Handle>,
     /// The workers.
     pub seats: Vec<Seat>,
+    layout: Layout,
 }
 
 impl Bench {
@@ -73,6 +74,19 @@
     ///
     /// Returns the error of the part that cannot start.
     pub fn start(layout: &Layout) -> anyhow::Result<Self> {
+        Self::start_between(layout, |_, entries| Ok(entries.to_vec()))
+    }
+
+    /// Starts a system in which `between` gives the addresses by which each agent, by its
+    /// index, knows the entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn start_between(
+        layout: &Layout,
+        mut between: impl FnMut(usize, &[SocketAddr]) -> anyhow::Result<Vec<SocketAddr>>,
+    ) -> anyhow::Result<Self> {
         let table = Table::start()?;
         let objects = Objects::start()?;
         let mut entries: Vec<entry::Handle> = Vec::new();
@@ -81,18 +95,43 @@
             let settings = entry_settings(layout, index, known, (table.url(), objects.url()))?;
             entries.push(entry::start(settings).context("entry")?);
         }
-        let mut seats = Vec::new();
         let known: Vec<SocketAddr> = entries.iter().map(entry::Handle::address).collect();
+        let mut seats = Vec::new();
         for index in 0..layout.workers {
-            let target = Target::start(layout.service_time)?;
-            let worker = Worker::start()?;
-            let settings =
-                agent_settings(layout, index, known.clone(), (target.url(), worker.url()))?;
-            let node = settings.node.clone();
-            let agent = agent::start(settings).context("agent")?;
-            seats.push(Seat { node, agent, target, worker });
+            seats.push(start_seat(layout, index, between(index, &known)?)?);
         }
-        Ok(Self { table, objects, entries, seats })
+        Ok(Self { table, objects, entries, seats, layout: layout.clone() })
+    }
+
+    /// Stops an entry as planned and starts a new one at its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn replace_entry(&mut self, index: usize) -> anyhow::Result<()> {
+        let old = self.entries.remove(index);
+        let address = old.address();
+        old.stop();
+        let known = self.entries.iter().map(entry::Handle::address).collect();
+        let stores = (self.table.url(), self.objects.url());
+        let mut settings = entry_settings(&self.layout, index, known, stores)?;
+        settings.listen = address;
+        self.entries.insert(index, entry::start(settings).context("entry")?);
+        Ok(())
+    }
+
+    /// Replaces an agent by a new one, at once and without a word.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that cannot start.
+    pub fn replace_agent(&mut self, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<()> {
+        let seat = &mut self.seats[index];
+        let (target, worker) = (seat.target.url(), seat.worker.url());
+        let settings = agent_settings(&self.layout, index, entries, (target, worker))?;
+        let new = agent::start(settings).context("agent")?;
+        std::mem::replace(&mut seat.agent, new).stop();
+        Ok(())
     }
 
     /// Stops everything, entries first.
@@ -110,6 +149,15 @@
     }
 }
 
+fn start_seat(layout: &Layout, index: usize, entries: Vec<SocketAddr>) -> anyhow::Result<Seat> {
+    let target = Target::start(layout.service_time)?;
+    let worker = Worker::start()?;
+    let settings = agent_settings(layout, index, entries, (target.url(), worker.url()))?;
+    let node = settings.node.clone();
+    let agent = agent::start(settings).context("agent")?;
+    Ok(Seat { node, agent, target, worker })
+}
+
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -127,7 +175,7 @@
 ) -> anyhow::Result<settings::Entry> {
     Ok(settings::Entry {
         node: Node::try_from(format!("entry-{index}"))?,
-        place: place(layout, index)?,
+        place: place(layout, index * RACK)?,
         callers: any(),
         operators: any(),
         listen: any(),
@@ -159,7 +207,7 @@
     })
 }
 
-/// Spreads members over the regions, rack by rack.
+/// Spreads members over the regions, rack by rack; entries count as a rack each.
 fn place(layout: &Layout, index: usize) -> anyhow::Result<Place> {
     let rack = index / RACK;
     let region = layout.regions[rack % layout.regions.len()].clone();
--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -2,12 +2,16 @@
 
 pub mod alone;
 pub mod arrival;
+pub mod arrivals;
 pub mod bench;
 pub mod compare;
 pub mod demo;
 pub mod log_cost;
 pub mod plot;
 pub mod replay;
+pub mod request_faults;
+pub mod request_load;
 pub mod result;
+pub mod route_cost;
 pub mod run;
 pub mod spread;
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::bail;
 use lexopt::Arg;
-use persimmon_load::{alone, compare, demo, log_cost, replay, run, spread};
+use persimmon_load::{alone, compare, demo, log_cost, replay, request_load, run, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
@@ -17,6 +17,8 @@
            faults: refuse, fail, lose-answer, pause, delay
   compare  FILE FILE: ratios of the classes.csv files of two runs
   log-cost measures what a log line costs the thread that writes it
+  requests [NAME]
+           measures requests: cost, added, overload, failing, regions, leaving, faults or all
   spread   measures the time until a configuration is in force everywhere, and what it costs;
            [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
   replay   replays job lists through the planner and two baselines;
@@ -43,6 +45,7 @@
         Some("log-cost") => log_cost::run(),
         Some("replay") => replay::run(parser),
         Some("planner-cost") => replay::planner_cost(),
+        Some("requests") => request_load::run_named(&mut parser),
         Some("spread") => spread::run(parser),
         _ => bail!("{} is no command; see --help", command.display()),
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fault;
 pub mod gang;
 pub mod object;
+pub mod relay;
 pub mod table;
 pub mod target;
 pub mod worker;
