--- a/persimmondrift/tests/table_contract.rs
+++ b/persimmondrift/tests/table_contract.rs
@@ -189,3 +189,22 @@
         assert_eq!(wait, Duration::ZERO, "reads have their own budget");
     }
 }
+
+#[test]
+fn entries_return_apart() {
+    let back = Time::from_secs(160);
+    let mut returns = Vec::new();
+    for seed in 0..25 {
+        // Every entry failed first at the same time, and tries until the service is back.
+        let mut backoff = Backoff::new(seed);
+        let mut now = Time::from_secs(100);
+        while now < back {
+            now = now + backoff.failed(now);
+        }
+        returns.push(now.since(back).as_millis() / 100);
+    }
+    let most = (0..40).map(|slot| returns.iter().filter(|at| **at == slot).count()).max();
+    println!("{most:?} of 25 entries within 100 ms, the last after {:?}", returns.iter().max());
+    assert!(most <= Some(6), "{most:?} of 25 entries come back within the same 100 ms");
+    assert!(returns.iter().all(|at| *at < 40), "an entry comes back after more than 4 s");
+}
--- a/persimmondrift/tests/version_rule.rs
+++ b/persimmondrift/tests/version_rule.rs
@@ -451,5 +451,6 @@
         .seed(seed << 32 | ENTROPY);
     }
 
+    println!("{accepted} records in all runs");
     assert!(accepted > 40 * SEEDS, "only {accepted} records in all runs");
 }
