--- a/persimmon-load/src/alone.rs
+++ b/persimmon-load/src/alone.rs
@@ -7,6 +7,7 @@
 use anyhow::{bail, ensure};
 use lexopt::ValueExt;
 use lexopt::prelude::{Long, Value};
+use standin::object::Objects;
 use standin::table::Table;
 use standin::target::Target;
 use standin::worker::Worker;
@@ -29,14 +30,15 @@
         }
     }
     let Some((kind, listen)) = kind.zip(listen) else {
-        bail!("give table, target or worker, and --listen ADDRESS");
+        bail!("give table, objects, target or worker, and --listen ADDRESS");
     };
     ensure!(listen.ip().is_loopback(), "a stand-in listens on loopback only, not at {listen}");
     match kind.as_str() {
         "table" => serve(&Table::start_at(listen)?.url()),
+        "objects" => serve(&Objects::start_at(listen)?.url()),
         "target" => serve(&Target::start_at(listen, SERVICE_TIME)?.url()),
         "worker" => serve(&Worker::start_at(listen)?.url()),
-        other => bail!("`{other}` is no stand-in; give table, target or worker"),
+        other => bail!("`{other}` is no stand-in; give table, objects, target or worker"),
     }
 }
 
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -8,7 +8,7 @@
 
 Commands:
   demo     runs the whole path on loopback and ends by itself
-  standin  table|target|worker --listen ADDRESS
+  standin  table|objects|target|worker --listen ADDRESS
            runs a stand-in on loopback until it is ended
   run      open-loop load on a system on loopback; writes CSV and SVG files
            [--pattern steady|burst|diurnal] [--rate A_SECOND] [--length SPAN] [--seed N]
--- a/persimmonctl/src/show.rs
+++ b/persimmonctl/src/show.rs
@@ -116,10 +116,12 @@
 
 /// Shows the targets.
 pub fn targets(agents: &[Agent]) -> String {
-    let mut rows = vec![row(&[&"NODE", &"JUDGEMENT", &"VERSION", &"REQUESTS", &"PARTS"])];
+    let mut rows = vec![row(&[&"NODE", &"JUDGEMENT", &"STATE", &"VERSION", &"REQUESTS", &"PARTS"])];
     for agent in agents {
         let judgement = agent.judgement.to_lowercase();
-        rows.push(row(&[&agent.node, &judgement, &agent.version, &agent.running, &agent.tasks]));
+        let state = if agent.serving { "serving" } else { "leaving" };
+        let (version, running) = (agent.version, agent.running);
+        rows.push(row(&[&agent.node, &judgement, &state, &version, &running, &agent.tasks]));
     }
     table(&rows)
 }
--- a/persimmonctl/tests/command_line.rs
+++ b/persimmonctl/tests/command_line.rs
@@ -131,6 +131,7 @@
     let drained = site.run(&["drain", "taller-app-00", "--confirm", "--json"]);
     assert_eq!(drained.code, 0, "{drained:?}");
     site.wait(&["status"], |out| out.contains("1 drained"));
+    site.wait(&["targets"], |out| out.contains("leaving"));
     let claims = site.run(&["claims"]);
     assert_eq!((claims.code, claims.out.contains("studio")), (0, true), "{claims:?}");
     site.end();
--- a/standin/src/object.rs
+++ b/standin/src/object.rs
@@ -31,12 +31,20 @@
     ///
     /// Returns the error of the socket.
     pub fn start() -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts an object store without objects at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start_at(listen: SocketAddr) -> std::io::Result<Self> {
         let contents = Arc::new(Contents::default());
         let switch = Switch::default();
         let (shared, faults) = (Arc::clone(&contents), switch.clone());
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let http =
-            Http::start(any, THREADS, move |request| faults.apply(|| answer(&shared, request)))?;
+            Http::start(listen, THREADS, move |request| faults.apply(|| answer(&shared, request)))?;
         Ok(Self { switch, http, contents })
     }
 
