--- a/persimmondrift/src/adapter/http.rs
+++ b/persimmondrift/src/adapter/http.rs
@@ -1,7 +1,7 @@
 //! An HTTP server whose threads and waits are bounded, also for slow senders.
 
 use std::io::{self, Read};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,6 +22,8 @@
 const REFUSE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time in which a stopped server refuses what still comes in.
 const REFUSE_FOR: Duration = Duration::from_secs(1);
+/// Pause between two looks whether the listener is closed.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
 /// Largest body that the server library reads before it hands a request over, in bytes.
 const ARRIVED_BYTES: usize = 1_024;
 /// Bytes read at once.
@@ -99,6 +101,14 @@
         {
             refuse(request, "stopping");
         }
+        // The listener is closed by a thread of the library: it is awaited, so that whoever
+        // connects after the stop is refused at once.
+        drop(self.shared);
+        while begin.elapsed() < REFUSE_FOR
+            && TcpStream::connect_timeout(&self.address, REFUSE_PAUSE).is_ok()
+        {
+            thread::sleep(CLOSE_POLL);
+        }
     }
 }
 
