--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use persimmondrift::member::{Capacity, Place};
+use persimmondrift::place::Policy;
 use persimmondrift::unit::{
     Accelerators, Connections, Cores, Mebibytes, Node, Rack, Region, Service, Slots, Zone,
 };
@@ -135,6 +136,7 @@
         table,
         objects,
         tokens: vec![settings::Token { operator: "founder".parse()?, secret: TOKEN.to_owned() }],
+        policy: Policy::default(),
         process: settings::Process::default(),
     })
 }
--- a/persimmondrift/src/entry/core.rs
+++ b/persimmondrift/src/entry/core.rs
@@ -14,7 +14,7 @@
 use crate::member::{
     self, ANNOUNCE_EVERY, Announce, Beat, Judgement, PRESENCE_EVERY, Place, Presence, State, View,
 };
-use crate::place::{Eviction, Host};
+use crate::place::{Eviction, Host, Policy};
 use crate::route::Facts;
 use crate::settings;
 use crate::unit::{Boot, Epoch, Node, Plan, Sequence, Time, Version, Zone};
@@ -54,6 +54,7 @@
 pub struct Core {
     pub(super) node: Node,
     pub(super) place: Place,
+    policy: Policy,
     address: SocketAddr,
     seeds: Vec<SocketAddr>,
     announced: Option<Time>,
@@ -81,6 +82,7 @@
         Self {
             node: settings.node.clone(),
             place: settings.place.clone(),
+            policy: settings.policy.clone(),
             address,
             seeds: settings.entries.clone(),
             announced: None,
@@ -208,6 +210,7 @@
         for (node, member) in self.agents.alive().filter(|(_, m)| m.said.place.zone == *zone) {
             role.put_worker(now, node, member.boot, &member.said);
         }
+        role.set_policy(self.policy.clone());
         role.configure(&self.config);
         for (&job, spec) in &self.config.jobs {
             role.submit(now, job, spec);
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -18,7 +18,7 @@
 use crate::health::Verdict;
 use crate::member::Announce;
 use crate::metric;
-use crate::place::{self, Outcome, Planner, Seat, Share, Spec, Summary};
+use crate::place::{self, Outcome, Planner, Policy, Seat, Share, Spec, Summary};
 use crate::unit::{Attempt, Boot, Epoch, Job, Node, Time, Zone};
 
 pub use self::succession::silent_within;
@@ -189,6 +189,11 @@
         self.planner.close_worker(node);
     }
 
+    /// Sets how completion time is weighed against fragmentation.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.planner.set_policy(policy);
+    }
+
     /// Takes in the guarantees and shares of a configuration.
     pub fn configure(&mut self, config: &Config) {
         self.planner.set_guarantees(guarantee::promises(config, &self.term.zone));
--- a/persimmondrift/src/place/planner.rs
+++ b/persimmondrift/src/place/planner.rs
@@ -115,6 +115,12 @@
         Self { policy, ..Self::default() }
     }
 
+    /// Changes the weights.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        self.changed = true;
+    }
+
     /// Sets the guarantees that stand in this zone.
     pub fn set_guarantees(&mut self, promises: Vec<Promise>) {
         self.homes.set(&mut self.ledger, promises);
--- a/persimmondrift/src/settings.rs
+++ b/persimmondrift/src/settings.rs
@@ -12,13 +12,14 @@
 
 use self::measure::Span;
 use crate::member::{Capacity, Place};
+use crate::place::Policy;
 use crate::unit::{Node, Operator, Service};
 
 /// Largest settings file, in bytes.
 pub const FILE_BYTES: u64 = 256 << 10;
 
 /// Settings of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// Its name.
@@ -42,6 +43,9 @@
     pub objects: String,
     /// The operators and the tokens that prove who they are.
     pub tokens: Vec<Token>,
+    /// How the planner weighs completion time against fragmentation.
+    #[serde(default)]
+    pub policy: Policy,
     /// Logs, health, metrics and the planned stop.
     #[serde(default)]
     pub process: Process,
