Test what a new planner adopts, and the weights in settings

Cause: adoption and accelerators held by attempts that are not known had no test of their own; only the planner role used them. Overlapping seats, accelerators that a worker lacks, unknown jobs and reports of an older attempt are covered.

--- a/persimmondrift/tests/guarantee_claims.rs
+++ b/persimmondrift/tests/guarantee_claims.rs
@@ -1,15 +1,16 @@
 //! Claims get their guaranteed shape back, whoever borrowed it.
 
 use persimmondrift::config::{Change, Config, Quota};
+use persimmondrift::gang::{Holding, Phase, Task};
 use persimmondrift::guarantee::{self, Guarantee, Supply};
 use persimmondrift::intent::{self, Facts};
 use persimmondrift::member::Capacity;
 use persimmondrift::place::{
-    Adjacency, Cause, Class, Effect, Eviction, Host, Planner, Policy, Promise, Shape, Spec,
+    Adjacency, Cause, Class, Effect, Eviction, Host, Planner, Policy, Promise, Seat, Shape, Spec,
 };
 use persimmondrift::unit::{
-    Accelerators, Connections, Cores, Job, Mebibytes, Millis, Node, Rack, Slots, Time, Workspace,
-    Zone,
+    Accelerators, Attempt, Connections, Cores, Job, Mebibytes, Millis, Node, Part, Rack, Slots,
+    Time, Workspace, Zone,
 };
 
 const CAPACITY: Capacity = Capacity {
@@ -240,3 +241,48 @@
     };
     assert!(quota.is_as_stated(stated), "a declaration without zones is met by the plan");
 }
+
+fn holding(job: u64, mask: u64) -> Holding {
+    let task = Task { job: Job(job), attempt: Attempt(2), part: Part(0) };
+    Holding { task, mask, phase: Phase::Running }
+}
+
+#[test]
+fn a_new_planner_leaves_what_runs_alone() {
+    let half = shape(1, 4, Adjacency::Worker);
+    let mut planner = planner(1, &[]);
+    planner.put_holdings(&node(0), &[holding(7, 0x0f)]);
+    for id in 0..2 {
+        planner.submit(NOW, Job(id), spec("desk", half, Eviction::Stop, false));
+    }
+    assert_eq!(started(&planner.step(NOW)), [Job(0)], "the other half is held by job 7");
+    planner.put_holdings(&node(0), &[]);
+    assert_eq!(started(&planner.step(NOW)), [Job(1)]);
+}
+
+#[test]
+fn adopted_attempts_keep_their_seats() {
+    let half = shape(1, 4, Adjacency::Worker);
+    let mut planner = planner(1, &[("studio", half)]);
+    planner.submit(NOW, Job(1), spec("studio", half, Eviction::Never, true));
+    planner.submit(NOW, Job(2), spec("desk", half, Eviction::Never, false));
+    planner.submit(NOW, Job(3), spec("desk", half, Eviction::Stop, false));
+    let seat = |mask| [Seat { node: node(0), mask }];
+    assert!(planner.adopt(NOW, Job(1), Attempt(2), &seat(0xf0)));
+    assert!(!planner.adopt(NOW, Job(2), Attempt(1), &seat(0x3c)), "the seats overlap");
+    assert!(!planner.adopt(NOW, Job(2), Attempt(1), &seat(0xf00)), "there are 8 accelerators");
+    assert!(!planner.adopt(NOW, Job(9), Attempt(1), &seat(0x0f)), "the job is not known");
+    assert!(planner.adopt(NOW, Job(2), Attempt(1), &seat(0x0f)));
+    assert_eq!(planner.kept()[0].claim, Some(Job(1)), "the claim goes on");
+    assert_eq!(planner.step(NOW), [], "nothing is free and no guarantee is at risk");
+    planner.released(NOW, Job(1), Attempt(1));
+    assert_eq!(planner.step(NOW), [], "an older attempt says nothing of the one that runs");
+}
+
+#[test]
+fn settings_change_single_weights() {
+    let policy: Policy =
+        toml::from_str("reservations = 3\nmove_gain = 5.0\nsettle = 60000\n").expect("valid");
+    assert_eq!(policy, Policy::fragmentation());
+    assert!(toml::from_str::<Policy>("reservation = 3").is_err(), "a key is not known");
+}
