Count a part as running only while its worker says so

Cause: an end-to-end run with a worker that answers no call any more never ended: the agent went on reporting the part as running after the worker's own timer had stopped it, so the others were renewed for ever (not over after 30 s; in virtual time alone for over 10 s).

Ruled out: a phase for silent workers (its threshold would come on top of the lease).

After: a report tells the time since the worker was last known to run its parts, and the shared lease counts from there. Seats of a bench are stopped side by side.

--- a/persimmon-load/src/bench.rs
+++ b/persimmon-load/src/bench.rs
@@ -104,15 +104,42 @@
         Ok(Self { table, objects, entries, seats })
     }
 
+    /// Stops all entries, and starts new ones at their addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the entry that cannot start.
+    pub fn replace_entries(&mut self, layout: &Layout) -> anyhow::Result<()> {
+        let addresses: Vec<SocketAddr> = self.entries.iter().map(entry::Handle::address).collect();
+        let stops: Vec<_> =
+            self.entries.drain(..).map(|entry| std::thread::spawn(move || entry.stop())).collect();
+        for stop in stops {
+            let _ = stop.join();
+        }
+        for (index, &listen) in addresses.iter().enumerate() {
+            let store = (self.table.url(), self.objects.url());
+            let settings = entry_settings(layout, index, addresses.clone(), store)?;
+            let settings = settings::Entry { listen, ..settings };
+            self.entries.push(entry::start(settings).context("entry")?);
+        }
+        Ok(())
+    }
+
     /// Stops everything, entries first.
     pub fn stop(self) {
         for entry in self.entries {
             entry.stop();
         }
-        for seat in self.seats {
-            seat.agent.stop();
-            seat.target.stop();
-            seat.worker.stop();
+        let stop = |seat: Seat| {
+            std::thread::spawn(|| {
+                seat.agent.stop();
+                seat.target.stop();
+                seat.worker.stop();
+            })
+        };
+        let stops: Vec<_> = self.seats.into_iter().map(stop).collect();
+        for stop in stops {
+            let _ = stop.join();
         }
         self.table.stop();
         self.objects.stop();
--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -247,7 +247,7 @@
         if report.whole && self.succession.heard(node, report.boot).is_some() {
             self.place_worker(node);
             for holding in &report.holdings {
-                asked.extend(self.find(now, node, holding, report.echo.time()));
+                asked.extend(self.find(now, node, holding, report.at()));
             }
         }
         self.drive(now, asked)
--- a/persimmondrift/src/gang.rs
+++ b/persimmondrift/src/gang.rs
@@ -7,7 +7,8 @@
 //! Messages carry two clock readings: the sender's own, and the last one heard from the
 //! peer. A lease counts on the agent's clock from a reading that the planner had heard before
 //! it granted the lease, and a part counts as running at the time on the planner's clock at
-//! which the command was sent that the agent has answered. So a message that is late,
+//! which the command was sent that the agent has answered, less the time for which the worker
+//! has said nothing. So a message that is late,
 //! doubled or reordered cannot stretch a lease.
 
 mod coordinator;
@@ -145,12 +146,22 @@
     pub sent: Stamp,
     /// The planner's clock as last heard under that epoch.
     pub echo: Stamp,
+    /// The longest time since the worker was known to run one of the running parts.
+    pub age: Millis,
     /// Whether all parts of the agent are listed.
     pub whole: bool,
     /// The parts.
     pub holdings: Vec<Holding>,
 }
 
+impl Report {
+    /// Returns the time, on the planner's clock, at which the running parts ran for sure.
+    #[must_use]
+    pub fn at(&self) -> Time {
+        Time(self.echo.0.saturating_sub(self.age.0 * 1_000))
+    }
+}
+
 /// The state of a part at its agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- a/persimmondrift/src/gang/coordinator.rs
+++ b/persimmondrift/src/gang/coordinator.rs
@@ -164,7 +164,7 @@
         }
         let mut jobs = BTreeSet::new();
         for holding in &report.holdings {
-            if self.observe(node, report.echo.time(), holding) {
+            if self.observe(node, report.at(), holding) {
                 jobs.insert(holding.task.job);
             }
         }
--- a/persimmondrift/src/gang/holder.rs
+++ b/persimmondrift/src/gang/holder.rs
@@ -1,6 +1,7 @@
 //! The agent's side: holds, runs and stops the parts on one worker.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +14,7 @@
 /// Calls that ask the worker to start one part before the part counts as failed.
 const START_CALLS: u32 = 3;
 /// Pause before the worker is asked again to stop a part.
-const STOP_AGAIN: std::time::Duration = std::time::Duration::from_millis(500);
+const STOP_AGAIN: Duration = Duration::from_millis(500);
 
 /// Why a command was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,6 +78,8 @@
     calls: u32,
     /// The end of the last call to the worker, if it has ended.
     called: Option<Time>,
+    /// When the worker was last known to run it.
+    seen: Time,
 }
 
 /// The parts on one worker.
@@ -179,7 +182,7 @@
     pub fn listed(&mut self, now: Time, asked: Time, list: &[Listed]) -> Vec<Action> {
         let mut actions = Vec::new();
         for part in list {
-            self.observe(now, part, &mut actions);
+            self.observe(now, asked, part, &mut actions);
         }
         self.listed = true;
         let absent = |task: &Task| list.iter().all(|part| part.task != *task);
@@ -266,7 +269,7 @@
             return Phase::Refused(Refused::Busy);
         }
         let (phase, until) = (Phase::Held, now + hold);
-        let part = Held { mask, phase, until, spec: Some(spec), calls: 0, called: None };
+        let part = Held { mask, phase, until, spec: Some(spec), calls: 0, called: None, seen: now };
         self.parts.insert(task, part);
         phase
     }
@@ -282,7 +285,7 @@
             return self.stop(now, task, actions);
         }
         held.phase = Phase::Starting;
-        held.until = until;
+        (held.until, held.seen) = (until, now);
         actions.extend(held.call(task));
         Phase::Starting
     }
@@ -324,15 +327,20 @@
     }
 
     /// Takes in what the worker says of one part.
-    fn observe(&mut self, now: Time, part: &Listed, actions: &mut Vec<Action>) {
+    fn observe(&mut self, now: Time, asked: Time, part: &Listed, actions: &mut Vec<Action>) {
         let task = part.task;
+        if let Some(held) = self.parts.get_mut(&task)
+            && part.state == State::Running
+        {
+            held.seen = held.seen.max(asked);
+        }
         match (self.parts.get_mut(&task), part.state) {
             (Some(held), State::Running) if held.phase == Phase::Starting => {
                 held.phase = Phase::Running;
                 held.called = Some(now);
                 actions.push(self.tell(now, task, Phase::Running));
             }
-            (None, State::Running) if !self.listed => self.adopt(now, part),
+            (None, State::Running) if !self.listed => self.adopt(now, asked, part),
             // It was started by a call that came late, or its lease lapsed here before.
             (None, State::Running) => actions.push(Action::Stop { task }),
             (None, _) | (Some(_), State::Running) => {}
@@ -344,10 +352,11 @@
 
     /// Takes over a part that an earlier start of this agent has started. Its lease is not
     /// known here; the worker's timer ends it.
-    fn adopt(&mut self, now: Time, part: &Listed) {
+    fn adopt(&mut self, now: Time, seen: Time, part: &Listed) {
         let until = now + super::LEASE;
         let (mask, phase, called) = (part.mask, Phase::Running, Some(now));
-        self.parts.insert(part.task, Held { mask, phase, until, spec: None, calls: 0, called });
+        let adopted = Held { mask, phase, until, spec: None, calls: 0, called, seen };
+        self.parts.insert(part.task, adopted);
     }
 
     /// Takes in that the worker does not know a part that it was asked to start.
@@ -376,11 +385,16 @@
     }
 
     fn report(&self, now: Time, whole: bool, holdings: Vec<Holding>) -> Action {
+        let runs = holdings.iter().filter(|holding| holding.phase == Phase::Running);
+        let seen = runs.filter_map(|holding| Some(self.parts.get(&holding.task)?.seen)).min();
+        let age = seen.map_or(Duration::ZERO, |seen| now.since(seen));
+        let age = Millis(u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1);
         Action::Report(Report {
             boot: self.boot,
             epoch: self.epoch,
             sent: now.into(),
             echo: self.heard,
+            age,
             whole,
             holdings,
         })
--- a/persimmondrift/tests/gang_faults.rs
+++ b/persimmondrift/tests/gang_faults.rs
@@ -234,6 +234,24 @@
             },
             ..CALM
         },
+        Case {
+            name: "a worker answers no call any more",
+            event: |scene, ms| {
+                if ms == 3_000 {
+                    scene.world.sides[1].calls = Calls::Silent;
+                }
+            },
+            want: stopped(),
+            ..CALM
+        },
+        Case {
+            name: "a worker answers no call for less than a lease",
+            event: |scene, ms| {
+                let silent = (3_000..9_000).contains(&ms);
+                scene.world.sides[1].calls = if silent { Calls::Silent } else { Calls::Work };
+            },
+            ..CALM
+        },
         Case {
             name: "a worker's timer ends the part",
             event: |scene, ms| {
@@ -268,6 +286,11 @@
             want: stopped(),
             ..CALM
         },
+    ]
+}
+
+fn loss_cases() -> Vec<Case> {
+    vec![
         Case {
             name: "a silent agent is given up while its worker goes on",
             fate: |_, s, m| lose_if(s >= 3 && (from(m, 1) || matches!(m, Message::Command(1, _)))),
@@ -407,7 +430,7 @@
 
 #[test]
 fn all_parts_run_or_none() {
-    for case in [start_cases(), lease_cases(), worker_cases()].into_iter().flatten() {
+    for case in [start_cases(), lease_cases(), worker_cases(), loss_cases()].into_iter().flatten() {
         let mut scene = Scene::new();
         scene.run(&case);
         let running = [0, 1].map(|index| scene.world.running(index).is_some());
--- a/persimmondrift/tests/gang_interleavings.rs
+++ b/persimmondrift/tests/gang_interleavings.rs
@@ -136,7 +136,7 @@
         }
         let effects = planner.coordinator.report(now, &node(agent), report);
         if report.whole && planner.told[agent].is_none() {
-            let at = report.echo.time();
+            let at = report.at();
             let found =
                 |holding: &Holding| Found { node: node(agent), holding: holding.clone(), at };
             planner.told[agent] = Some((now, report.holdings.iter().map(found).collect()));
--- a/standin/src/gang.rs
+++ b/standin/src/gang.rs
@@ -40,6 +40,8 @@
     LoseAnswer,
     /// It does nothing, and the answer is lost.
     Lose,
+    /// It answers no call of any kind; its timers go on.
+    Silent,
 }
 
 /// A part at a worker.
@@ -182,6 +184,9 @@
     pub fn list(&mut self, index: usize) {
         let now = self.clock(index);
         let side = &mut self.sides[index];
+        if side.calls == Calls::Silent {
+            return;
+        }
         let listed = |(&task, run): (&Task, &Run)| Listed { task, mask: 0xff, state: run.state };
         let list: Vec<Listed> = side.runs.iter().map(listed).collect();
         let actions = side.holder.listed(now, now, &list);
@@ -248,7 +253,7 @@
                         Calls::Work => (true, Started::Confirmed),
                         Calls::Refuse => (false, Started::Refused),
                         Calls::LoseAnswer => (true, Started::Unknown),
-                        Calls::Lose => (false, Started::Unknown),
+                        Calls::Lose | Calls::Silent => (false, Started::Unknown),
                     };
                     if runs && until > now {
                         let run = Run { until, state: State::Running };
@@ -260,10 +265,15 @@
                 Action::Renew { task, until } => {
                     if let Some(run) = side.runs.get_mut(&task)
                         && run.state == State::Running
+                        && side.calls != Calls::Silent
                     {
                         run.until = until;
                     }
                 }
+                Action::Stop { task } if side.calls == Calls::Silent => {
+                    let actions = side.holder.stopped(now, task, false);
+                    self.act(index, actions);
+                }
                 Action::Stop { task } => {
                     let stopped = Run { until: now, state: State::Stopped };
                     let run = side.runs.entry(task).or_insert(stopped);
