Measure what a planner spends on attempts, and spread its renewals

Cause: nobody had measured the coordinator. With 880 agents put at once all renewals fell into one tick of 2,262 us; a lost renewal waited a whole second.

Ruled out: renewals each 2 s (75 instead of 151 KB/s): parts then outlive a worker's silence of only about 6 s instead of 8, and the case of gang_faults with 6 s was red.

After: persimmon-load gangs. Agents are renewed at 20 points of a second, the longest call fell to 149 us (930 attempts of 4 parts on 880 agents); a renewal without an answer is sent again after 300 ms.

--- /dev/null
+++ b/persimmon-load/src/gangs.rs
@@ -0,0 +1,218 @@
+//! What a planner spends on attempts: processor time, messages and bytes.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use anyhow::ensure;
+use persimmondrift::adapter::worker::{Listed, State};
+use persimmondrift::gang::{
+    Action, Command, Coordinator, Effect, Holder, Holding, Report, Started, Term,
+};
+use persimmondrift::place::{Adjacency, Class, Eviction, Seat, Shape, Spec};
+use persimmondrift::unit::{
+    Accelerators, Attempt, Boot, Cores, Epoch, Job, Mebibytes, Millis, Node, Sequence, Time,
+};
+use persimmondrift::wire::{self, Body, Frame};
+
+/// Parts on one worker.
+const PARTS_PER_WORKER: usize = 8;
+/// Pause between two ticks of a planner.
+const TICK: Duration = Duration::from_millis(50);
+/// Time that passes while parts run.
+const STEADY: Duration = Duration::from_secs(20);
+
+/// What was spent.
+#[derive(Debug, Default)]
+struct Spent {
+    planner: Duration,
+    longest: Duration,
+    commands: usize,
+    command_bytes: usize,
+    reports: usize,
+    report_bytes: usize,
+}
+
+struct Zone {
+    now: Time,
+    planner: Coordinator,
+    agents: BTreeMap<Node, Holder>,
+    asked: VecDeque<Effect>,
+    spent: Spent,
+}
+
+/// Runs the measurement and prints a table.
+///
+/// # Errors
+///
+/// Returns an error if an attempt does not run.
+pub fn run() -> anyhow::Result<()> {
+    println!(
+        "| attempts | parts each | agents | start ms | start messages | start KB | tick us mean | longest | out /s | in /s | KB/s out | KB/s in |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (attempts, parts, workers) in
+        [(1, 1, 1), (1, 64, 8), (1, 1_024, 128), (930, 4, 880), (3, 1_024, 880), (1_860, 4, 880)]
+    {
+        measure(attempts, parts, workers)?;
+    }
+    Ok(())
+}
+
+fn measure(attempts: usize, parts: usize, workers: usize) -> anyhow::Result<()> {
+    let mut zone = Zone::new(workers)?;
+    let nodes: Vec<Node> = zone.agents.keys().cloned().collect();
+    let mut taken = vec![0_u32; workers];
+    for attempt in 0..attempts {
+        let mut seats = Vec::new();
+        for part in 0..parts {
+            let worker = (attempt * parts + part) / PARTS_PER_WORKER.min(parts) % workers;
+            let mask = 1 << taken[worker];
+            taken[worker] += 1;
+            seats.push(Seat { node: nodes[worker].clone(), mask });
+        }
+        let (job, now, spec) = (Job(1 + attempt as u64), zone.now, spec(parts)?);
+        zone.spend(|planner| planner.begin(now, job, Attempt(1), spec, seats));
+        zone.carry_out(None)?;
+    }
+    let mut begun = Duration::ZERO;
+    while zone.planner.settled() < attempts {
+        zone.step(None)?;
+        begun += TICK;
+        ensure!(begun < Duration::from_secs(5), "{} attempts run", zone.planner.settled());
+    }
+    let start = std::mem::take(&mut zone.spent);
+    let ticks = u32::try_from(STEADY.as_millis() / TICK.as_millis())?;
+    for _ in 0..ticks {
+        zone.step(None)?;
+    }
+    let steady = std::mem::take(&mut zone.spent);
+    let seconds = usize::try_from(STEADY.as_secs())?;
+    println!(
+        "| {attempts} | {parts} | {workers} | {:.1} | {} | {} | {:.0} | {:.0} | {} | {} | {} | {} |",
+        start.planner.as_secs_f64() * 1e3,
+        start.commands + start.reports,
+        (start.command_bytes + start.report_bytes) / 1_000,
+        steady.planner.as_secs_f64() * 1e6 / f64::from(ticks),
+        steady.longest.as_secs_f64() * 1e6,
+        steady.commands / seconds,
+        steady.reports / seconds,
+        steady.command_bytes / seconds / 1_000,
+        steady.report_bytes / seconds / 1_000,
+    );
+    // One agent is silent: only what concerns it is sent again.
+    for _ in 0..20 {
+        zone.step(nodes.first())?;
+    }
+    println!("  with a silent agent: {} commands in 1 s", zone.spent.commands);
+    Ok(())
+}
+
+fn spec(parts: usize) -> anyhow::Result<Spec> {
+    Ok(Spec {
+        workspace: "studio".parse()?,
+        kind: "render".parse()?,
+        shape: Shape {
+            parts: u16::try_from(parts)?,
+            accelerators: Accelerators(1),
+            cores: Cores(4),
+            memory: Mebibytes(16 << 10),
+            adjacency: Adjacency::Zone,
+        },
+        class: Class::Batch,
+        eviction: Eviction::Checkpoint,
+        run_ms: Millis(3_600_000),
+        claim: false,
+        zone: Some("sac-a".parse()?),
+    })
+}
+
+impl Zone {
+    fn new(workers: usize) -> anyhow::Result<Self> {
+        let now = Time::from_secs(50);
+        let term = Term { zone: "sac-a".parse()?, epoch: Epoch(3) };
+        let mut planner = Coordinator::new(term);
+        let mut agents = BTreeMap::new();
+        for index in 0..workers {
+            let node = Node::try_from(format!("taller-app-{index:05}"))?;
+            let boot = Boot(u64::MAX - index as u64);
+            let mut holder = Holder::new(boot);
+            let actions = holder.listed(now, now, &[]);
+            ensure!(actions.is_empty(), "a worker without parts");
+            planner.put_agent(now, &node, boot);
+            agents.insert(node, holder);
+        }
+        Ok(Self { now, planner, agents, asked: VecDeque::new(), spent: Spent::default() })
+    }
+
+    /// Lets the planner act, and measures the time it takes.
+    fn spend(&mut self, act: impl FnOnce(&mut Coordinator) -> Vec<Effect>) {
+        let begin = Instant::now();
+        let effects = act(&mut self.planner);
+        self.spent.planner += begin.elapsed();
+        self.spent.longest = self.spent.longest.max(begin.elapsed());
+        self.asked.extend(effects);
+    }
+
+    /// Carries out what the planner asks for.
+    fn carry_out(&mut self, silent: Option<&Node>) -> anyhow::Result<()> {
+        while let Some(effect) = self.asked.pop_front() {
+            match effect {
+                Effect::Send { node, command } => self.send(&node, command, silent)?,
+                Effect::Record { job, attempt, .. } => {
+                    let now = self.now;
+                    self.spend(|planner| planner.recorded(now, job, attempt, true));
+                }
+                Effect::Over { job, ending, .. } => anyhow::bail!("job {job}: {ending:?}"),
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, to: &Node, command: Command, silent: Option<&Node>) -> anyhow::Result<()> {
+        self.spent.commands += 1;
+        self.spent.command_bytes += size(to, Body::Command(command.clone()))?;
+        if silent == Some(to) {
+            return Ok(());
+        }
+        let now = self.now;
+        let Some(holder) = self.agents.get_mut(to) else {
+            return Ok(());
+        };
+        let mut reports: Vec<Report> = Vec::new();
+        let mut open = VecDeque::from(holder.command(now, command));
+        while let Some(action) = open.pop_front() {
+            match action {
+                Action::Report(report) => reports.push(report),
+                Action::Start { task, .. } => {
+                    open.extend(holder.started(now, task, Started::Confirmed));
+                }
+                Action::Renew { .. } | Action::Stop { .. } => {}
+            }
+        }
+        for report in reports {
+            self.spent.reports += 1;
+            self.spent.report_bytes += size(to, Body::Report(report.clone()))?;
+            self.spend(|planner| planner.report(now, to, &report));
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, silent: Option<&Node>) -> anyhow::Result<()> {
+        self.now = self.now + TICK;
+        let now = self.now;
+        for holder in self.agents.values_mut() {
+            let running =
+                |held: Holding| Listed { task: held.task, mask: held.mask, state: State::Running };
+            let list: Vec<Listed> = holder.holdings().into_iter().map(running).collect();
+            holder.listed(now, now, &list);
+        }
+        self.spend(|planner| planner.tick(now));
+        self.carry_out(silent)
+    }
+}
+
+fn size(node: &Node, body: Body) -> anyhow::Result<usize> {
+    let frame =
+        Frame { node: node.clone(), boot: Boot(u64::MAX), sequence: Sequence(1 << 40), body };
+    Ok(wire::encode(&frame, wire::DATAGRAM_BYTES)?.len())
+}
--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod bench;
 pub mod demo;
+pub mod gangs;
--- a/persimmondrift/src/gang.rs
+++ b/persimmondrift/src/gang.rs
@@ -32,11 +32,15 @@
 pub const LEASE: Millis = Millis(10_000);
 /// Time after the end of a lease by which the worker has surely stopped the part.
 pub const SLACK: Duration = Duration::from_secs(2);
-/// Pause between two renewals to one agent.
+/// Pause between two renewals to one agent that answers.
 pub const RENEW_EVERY: Duration = Duration::from_secs(1);
+/// Pause before a renewal that was not answered is sent again.
+pub const RENEW_AGAIN: Duration = Duration::from_millis(300);
 /// Pause before an unanswered command is sent again. For a stop it doubles up to
-/// [`RENEW_EVERY`].
+/// [`RESEND_MOST`].
 pub const RESEND_AFTER: Duration = Duration::from_millis(150);
+/// Longest pause before a command is sent again, and before a hold is refreshed.
+pub const RESEND_MOST: Duration = Duration::from_secs(1);
 /// Time given to all agents to hold the parts of an attempt.
 pub const PREPARE_WITHIN: Duration = Duration::from_secs(3);
 /// Time given to the table service to take in an attempt.
--- a/persimmondrift/src/gang/coordinator.rs
+++ b/persimmondrift/src/gang/coordinator.rs
@@ -243,6 +243,12 @@
         self.gangs.len()
     }
 
+    /// Returns the number of attempts of which all parts run or have finished.
+    #[must_use]
+    pub fn settled(&self) -> usize {
+        self.gangs.len() - self.unsettled.len()
+    }
+
     /// Returns whether no attempt is under way.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/persimmondrift/src/gang/coordinator/attempt.rs
+++ b/persimmondrift/src/gang/coordinator/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::{Ending, Found, part_at};
 use crate::gang::{
-    HOLD, LEASE, Order, PREPARE_WITHIN, Phase, RECORD_WITHIN, RENEW_EVERY, RESEND_AFTER, SLACK,
+    HOLD, LEASE, Order, PREPARE_WITHIN, Phase, RECORD_WITHIN, RESEND_AFTER, RESEND_MOST, SLACK,
     START_WITHIN,
 };
 use crate::place;
@@ -206,9 +206,9 @@
     /// Returns whether a command is to be sent, the first time or again.
     pub fn is_due(&self, now: Time, stage: Stage) -> bool {
         let pause = match self.phase {
-            Some(Phase::Held) if self.tries == 0 => RENEW_EVERY,
+            Some(Phase::Held) if self.tries == 0 => RESEND_MOST,
             _ if stage == Stage::Stopping => {
-                RENEW_EVERY.min(RESEND_AFTER * (1 << self.tries.saturating_sub(1).min(3)))
+                RESEND_MOST.min(RESEND_AFTER * (1 << self.tries.saturating_sub(1).min(3)))
             }
             _ => RESEND_AFTER,
         };
--- a/persimmondrift/src/gang/peer.rs
+++ b/persimmondrift/src/gang/peer.rs
@@ -2,12 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Command, Direction, Effect, Order, RENEW_EVERY, Report, Stamp, Task, Term};
+use super::{
+    Command, Direction, Effect, Order, RENEW_AGAIN, RENEW_EVERY, Report, Stamp, Task, Term,
+};
 use crate::unit::{Boot, Millis, Node, Time};
 
 /// Most directions of one command, so that it fits into a datagram.
 const DIRECTIONS: usize = 256;
 
+/// Points in time within a pause at which agents are renewed.
+const SPREAD: u32 = 20;
+
 /// An agent as its planner knows it.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -53,7 +58,11 @@
         }
         let stamp = Stamp::default();
         let tasks = BTreeSet::new();
-        let peer = Peer { boot, stamp, arrived: now, tasks, renewed: now };
+        // Agents that appear together are renewed at different times.
+        let spread =
+            RENEW_EVERY / SPREAD * u32::try_from(self.peers.len()).unwrap_or(0).rem_euclid(SPREAD);
+        let renewed = Time(now.0.saturating_sub(u64::try_from(spread.as_micros()).unwrap_or(0)));
+        let peer = Peer { boot, stamp, arrived: now, tasks, renewed };
         self.peers.insert(node.clone(), peer);
         true
     }
@@ -90,7 +99,9 @@
     pub fn due(&mut self, now: Time) -> Vec<(Node, Vec<Task>)> {
         let mut due = Vec::new();
         for (node, peer) in &mut self.peers {
-            if !peer.tasks.is_empty() && now.since(peer.renewed) >= RENEW_EVERY {
+            let answered = peer.arrived >= peer.renewed;
+            let pause = if answered { RENEW_EVERY } else { RENEW_AGAIN };
+            if !peer.tasks.is_empty() && now.since(peer.renewed) >= pause {
                 peer.renewed = now;
                 due.push((node.clone(), peer.tasks.iter().copied().collect()));
             }
