--- a/persimmondrift/src/entry/role.rs
+++ b/persimmondrift/src/entry/role.rs
@@ -17,6 +17,7 @@
 use crate::guarantee;
 use crate::health::Verdict;
 use crate::member::Announce;
+use crate::metric;
 use crate::place::{self, Outcome, Planner, Seat, Share, Spec, Summary};
 use crate::unit::{Attempt, Boot, Epoch, Job, Node, Time, Zone};
 
@@ -309,6 +310,12 @@
         self.planner.summary()
     }
 
+    /// Returns what a job does or waits for, if it is known here.
+    #[must_use]
+    pub fn explain(&self, now: Time, job: Job) -> Option<String> {
+        self.planner.explain(now, job).map(|wait| wait.to_string())
+    }
+
     /// Returns the number of attempts that are under way.
     #[must_use]
     pub fn attempts(&self) -> usize {
@@ -495,6 +502,7 @@
                     nodes,
                 }),
                 gang::Effect::Over { job, attempt, ending } => {
+                    metric::attempt_over(&ending);
                     crate::log!(AttemptOver, "job {job} attempt {attempt}: {ending:?}");
                     effects.extend(self.over(now, job, attempt, &ending));
                 }
