--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::bail;
 use lexopt::Arg;
-use persimmon_load::{alone, demo, gangs, spread};
+use persimmon_load::{alone, compare, demo, gangs, log_cost, run, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
@@ -11,6 +11,13 @@
   gangs    measures what a planner spends on attempts
   standin  table|target|worker --listen ADDRESS
            runs a stand-in on loopback until it is ended
+  run      open-loop load on a system on loopback; writes CSV and SVG files
+           [--pattern steady|burst|diurnal] [--rate A_SECOND] [--length SPAN] [--seed N]
+           [--entries N] [--workers N] [--service-time SPAN] [--out DIR]
+           [--fault PART:FAULT@BEGIN-END]..., like table:refuse@2s-4s or target0:delay@1s-3s;
+           faults: refuse, fail, lose-answer, pause, delay
+  compare  FILE FILE: ratios of the classes.csv files of two runs
+  log-cost measures what a log line costs the thread that writes it
   spread   measures the time until a configuration is in force everywhere, and what it costs;
            [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
 ";
@@ -29,6 +36,9 @@
         Some("demo") => demo::run(),
         Some("gangs") => gangs::run(),
         Some("standin") => alone::run(&mut parser),
+        Some("run") => run::run(&mut parser),
+        Some("compare") => compare::run(&mut parser),
+        Some("log-cost") => log_cost::run(),
         Some("spread") => spread::run(parser),
         _ => bail!("{} is no command; see --help", command.display()),
     }
