--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bench;
 pub mod compare;
 pub mod demo;
+pub mod gangs;
 pub mod log_cost;
 pub mod plot;
 pub mod replay;
--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -2,12 +2,13 @@
 
 use anyhow::bail;
 use lexopt::Arg;
-use persimmon_load::{alone, compare, demo, log_cost, replay, request_load, run, spread};
+use persimmon_load::{alone, compare, demo, gangs, log_cost, replay, request_load, run, spread};
 
 const HELP: &str = "persimmon-load COMMAND
 
 Commands:
   demo     runs the whole path on loopback and ends by itself
+  gangs    measures what a planner spends on attempts
   standin  table|objects|target|worker --listen ADDRESS
            runs a stand-in on loopback until it is ended
   run      open-loop load on a system on loopback; writes CSV and SVG files
@@ -39,6 +40,7 @@
     };
     match command.to_str() {
         Some("demo") => demo::run(),
+        Some("gangs") => gangs::run(),
         Some("standin") => alone::run(&mut parser),
         Some("run") => run::run(&mut parser),
         Some("compare") => compare::run(&mut parser),
--- a/persimmondrift/src/gang.rs
+++ b/persimmondrift/src/gang.rs
@@ -7,7 +7,8 @@
 //! Messages carry two clock readings: the sender's own, and the last one heard from the
 //! peer. A lease counts on the agent's clock from a reading that the planner had heard before
 //! it granted the lease, and a part counts as running at the time on the planner's clock at
-//! which the command was sent that the agent has answered. So a message that is late,
+//! which the command was sent that the agent has answered, less the time for which the worker
+//! has said nothing. So a message that is late,
 //! doubled or reordered cannot stretch a lease.
 
 mod coordinator;
@@ -31,11 +32,15 @@
 pub const LEASE: Millis = Millis(10_000);
 /// Time after the end of a lease by which the worker has surely stopped the part.
 pub const SLACK: Duration = Duration::from_secs(2);
-/// Pause between two renewals to one agent.
+/// Pause between two renewals to one agent that answers.
 pub const RENEW_EVERY: Duration = Duration::from_secs(1);
+/// Pause before a renewal that was not answered is sent again.
+pub const RENEW_AGAIN: Duration = Duration::from_millis(300);
 /// Pause before an unanswered command is sent again. For a stop it doubles up to
-/// [`RENEW_EVERY`].
+/// [`RESEND_MOST`].
 pub const RESEND_AFTER: Duration = Duration::from_millis(150);
+/// Longest pause before a command is sent again, and before a hold is refreshed.
+pub const RESEND_MOST: Duration = Duration::from_secs(1);
 /// Time given to all agents to hold the parts of an attempt.
 pub const PREPARE_WITHIN: Duration = Duration::from_secs(3);
 /// Time given to the table service to take in an attempt.
@@ -145,12 +150,22 @@
     pub sent: Stamp,
     /// The planner's clock as last heard under that epoch.
     pub echo: Stamp,
+    /// The longest time since the worker was known to run one of the running parts.
+    pub age: Millis,
     /// Whether all parts of the agent are listed.
     pub whole: bool,
     /// The parts.
     pub holdings: Vec<Holding>,
 }
 
+impl Report {
+    /// Returns the time, on the planner's clock, at which the running parts ran for sure.
+    #[must_use]
+    pub fn at(&self) -> Time {
+        Time(self.echo.0.saturating_sub(self.age.0 * 1_000))
+    }
+}
+
 /// The state of a part at its agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
