--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -1,10 +1,17 @@
 //! Load and experiments against the system, with stand-ins in place of everything outside.
 
 pub mod alone;
+pub mod arrival;
 pub mod arrivals;
 pub mod bench;
+pub mod compare;
 pub mod demo;
+pub mod log_cost;
+pub mod plot;
+pub mod replay;
 pub mod request_faults;
 pub mod request_load;
+pub mod result;
 pub mod route_cost;
+pub mod run;
 pub mod spread;
