--- a/persimmon-load/src/main.rs
+++ b/persimmon-load/src/main.rs
@@ -8,10 +8,8 @@
 
 Commands:
   demo     runs the whole path on loopback and ends by itself
-  standin  table|target|worker --listen ADDRESS
+  standin  table|objects|target|worker --listen ADDRESS
            runs a stand-in on loopback until it is ended
-  requests [NAME]
-           measures requests: cost, added, overload, failing, regions, leaving, faults or all
   run      open-loop load on a system on loopback; writes CSV and SVG files
            [--pattern steady|burst|diurnal] [--rate A_SECOND] [--length SPAN] [--seed N]
            [--entries N] [--workers N] [--service-time SPAN] [--out DIR]
@@ -19,6 +17,8 @@
            faults: refuse, fail, lose-answer, pause, delay
   compare  FILE FILE: ratios of the classes.csv files of two runs
   log-cost measures what a log line costs the thread that writes it
+  requests [NAME]
+           measures requests: cost, added, overload, failing, regions, leaving, faults or all
   spread   measures the time until a configuration is in force everywhere, and what it costs;
            [--agents N]... [--entries N] [--changes N] [--loss THOUSANDTHS]
   replay   replays job lists through the planner and two baselines;
@@ -40,12 +40,12 @@
     match command.to_str() {
         Some("demo") => demo::run(),
         Some("standin") => alone::run(&mut parser),
-        Some("requests") => request_load::run_named(&mut parser),
         Some("run") => run::run(&mut parser),
         Some("compare") => compare::run(&mut parser),
         Some("log-cost") => log_cost::run(),
         Some("replay") => replay::run(parser),
         Some("planner-cost") => replay::planner_cost(),
+        Some("requests") => request_load::run_named(&mut parser),
         Some("spread") => spread::run(parser),
         _ => bail!("{} is no command; see --help", command.display()),
     }
