--- a/persimmondrift/tests/entry_limit.rs
+++ b/persimmondrift/tests/entry_limit.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use persimmondrift::member::{ANNOUNCE_EVERY, Announce, Capacity, Load, Place, State};
+use persimmondrift::place::Policy;
 use persimmondrift::unit::{
     Accelerators, Boot, Connections, Cores, Mebibytes, Millis, Sequence, Slots, Version,
 };
@@ -39,6 +40,7 @@
         table: "http://127.0.0.1:1".to_owned(),
         objects: "http://127.0.0.1:1".to_owned(),
         tokens: Vec::new(),
+        policy: Policy::default(),
         process: settings::Process::default(),
     })
     .expect("started")
--- a/persimmondrift/tests/key_claims.rs
+++ b/persimmondrift/tests/key_claims.rs
@@ -10,6 +10,7 @@
     self, Claim, Conflict, KEPT_BYTES, Phase, Step, Verdict, Wish, write_all,
 };
 use persimmondrift::member::{Capacity, Place};
+use persimmondrift::place::Policy;
 use persimmondrift::unit::{Accelerators, Connections, Cores, Mebibytes, Mutation, Slots, Version};
 use persimmondrift::{agent, entry, settings};
 use standin::caller::{Ask, Client, Reply};
@@ -121,6 +122,7 @@
         table: table.url(),
         objects: NOWHERE.to_owned(),
         tokens: Vec::new(),
+        policy: Policy::default(),
         process: settings::Process::default(),
     })
     .expect("started")
