--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gangs;
 pub mod log_cost;
 pub mod plot;
+pub mod replay;
 pub mod result;
 pub mod run;
 pub mod spread;
