--- a/persimmon-load/src/lib.rs
+++ b/persimmon-load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod log_cost;
 pub mod plot;
+pub mod replay;
 pub mod result;
 pub mod run;
 pub mod spread;
