Nudge the HTTP library, so that no connection is left without a thread

The library counts an idle thread for each of two connections that come at once; the second one waits until the first is closed. Reproduced by http_server: 40 rounds of 50 connections, failed after 10.6 s. The server opens and closes a connection of its own every 10 ms while requests come in, every 200 ms otherwise.

--- a/persimmondrift/src/adapter/http.rs
+++ b/persimmondrift/src/adapter/http.rs
@@ -19,7 +19,11 @@
 /// Longest time in which the parts of a body may come in.
 const RECEIVE_LIMIT: Duration = Duration::from_secs(10);
 /// Pause without a new request after which a stopped server refuses no more.
-const REFUSE_PAUSE: Duration = Duration::from_millis(50);
+const REFUSE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two nudges of a server that gets requests.
+const NUDGE_BUSY: Duration = Duration::from_millis(10);
+/// Looks without a request between two nudges of an idle server.
+const NUDGE_IDLE_LOOKS: u32 = 20;
 /// Longest time in which a stopped server refuses what still comes in.
 const REFUSE_FOR: Duration = Duration::from_secs(1);
 /// Pause between two looks whether the listener is closed.
@@ -35,6 +39,7 @@
     pub address: SocketAddr,
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
+    nudger: JoinHandle<()>,
 }
 
 /// What the threads of a server share.
@@ -45,7 +50,11 @@
     receiving: AtomicUsize,
     /// Most bodies that are received at once, so that slow senders cannot hold all threads.
     receive_most: usize,
+    /// Requests that came in so far.
+    received: AtomicUsize,
     stop: AtomicBool,
+    /// Whether nothing that comes in is answered any more.
+    closed: AtomicBool,
 }
 
 impl Http {
@@ -69,20 +78,24 @@
             handle: Box::new(handle),
             receiving: AtomicUsize::new(0),
             receive_most: threads.div_ceil(2),
+            received: AtomicUsize::new(0),
             stop: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
         });
         let run = |_| {
             let shared = Arc::clone(&shared);
             thread::spawn(move || shared.run())
         };
         let threads = (0..threads).map(run).collect();
-        Ok(Self { address, shared, threads })
+        let watched = Arc::clone(&shared);
+        let nudger = thread::spawn(move || watched.nudge(address));
+        Ok(Self { address, shared, threads, nudger })
     }
 
     /// Returns whether a thread of the server has ended.
     #[must_use]
     pub fn failed(&self) -> bool {
-        self.threads.iter().any(JoinHandle::is_finished)
+        self.threads.iter().any(JoinHandle::is_finished) || self.nudger.is_finished()
     }
 
     /// Refuses new requests, and waits until those in flight have been answered.
@@ -101,6 +114,8 @@
         {
             refuse(request, "stopping");
         }
+        self.shared.closed.store(true, Ordering::Relaxed);
+        let _ = self.nudger.join();
         // The listener is closed by a thread of the library: it is awaited, so that whoever
         // connects after the stop is refused at once.
         drop(self.shared);
@@ -116,13 +131,33 @@
     fn run(self: &Arc<Self>) {
         loop {
             match self.server.recv() {
-                Ok(request) => self.answer(request),
+                Ok(request) => {
+                    self.received.fetch_add(1, Ordering::Relaxed);
+                    self.answer(request);
+                }
                 Err(_) if self.stop.load(Ordering::Relaxed) => return,
                 Err(_) => {}
             }
         }
     }
 
+    /// Opens and closes a connection now and then. The library may leave one of two
+    /// connections that come at once without a thread, until the next one comes.
+    fn nudge(&self, address: SocketAddr) {
+        let mut seen = 0;
+        let mut idle_looks = 0;
+        while !self.closed.load(Ordering::Relaxed) {
+            thread::sleep(NUDGE_BUSY);
+            let received = self.received.load(Ordering::Relaxed);
+            idle_looks += 1;
+            if received != seen || idle_looks >= NUDGE_IDLE_LOOKS {
+                seen = received;
+                idle_looks = 0;
+                drop(TcpStream::connect_timeout(&address, REFUSE_PAUSE));
+            }
+        }
+    }
+
     fn answer(self: &Arc<Self>, mut request: tiny_http::Request) {
         if self.stop.load(Ordering::Relaxed) {
             refuse(request, "stopping");
