Let an agent refuse for a second before it stops

Ruled out for now: a last frame on each connection (see DESIGN). Changed: a drain lasts at least 1 s and waits for outcomes to be written; an entry that is refused by a leaving target passes it over for 3 s.

--- a/persimmon-load/tests/process_stop.rs
+++ b/persimmon-load/tests/process_stop.rs
@@ -1,5 +1,7 @@
 //! A planned stop of an entry or an agent cuts nothing off.
 
+use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -86,3 +88,36 @@
     });
     bench.stop();
 }
+
+/// An agent that stopped at once left calls unanswered that were on their way.
+#[test]
+fn agents_refuse_before_they_stop() {
+    let mut bench = bench(Duration::ZERO);
+    let callers = bench.entries[0].callers();
+    // The entry does not hear that the agent leaves.
+    bench.entries[0].lose(1_000);
+    let outcomes = Mutex::new(BTreeSet::new());
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let caller = Caller::new(callers, SOON);
+                while !over.load(Ordering::Relaxed) {
+                    if let Ok(reply) = caller.post(SERVICE, "late", SOON, b"") {
+                        outcomes.lock().expect("no panic").insert(reply.outcome);
+                    }
+                }
+            });
+        }
+        thread::sleep(Duration::from_millis(100));
+        let seat = bench.seats.remove(0);
+        seat.agent.drain(TIMEOUT);
+        over.store(true, Ordering::Relaxed);
+        seat.target.stop();
+        seat.worker.stop();
+    });
+    bench.stop();
+    let outcomes = outcomes.into_inner().expect("no panic");
+    assert!(outcomes.contains("not-run"), "{outcomes:?}");
+    assert!(!outcomes.contains("unknown"), "{outcomes:?}");
+}
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -5,7 +5,7 @@
 mod work;
 
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -25,6 +25,8 @@
 const LIST_EVERY: Duration = Duration::from_millis(200);
 /// Times that pause while the worker has no parts.
 const IDLE_LISTS: u32 = 5;
+/// Shortest time between the announcement that the agent leaves and its stop.
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
 /// Connections of entries served at once.
 const CONNECTIONS: usize = 512;
 /// Connections beyond those, which are told that there are too many.
@@ -41,6 +43,8 @@
     waiters: request::Waiters,
     origin: Instant,
     connections: Mutex<slab::Slab<TcpStream>>,
+    /// Calls that were read and whose outcome is not written yet.
+    owed: AtomicUsize,
     metrics: metric::Agent,
     stop: AtomicBool,
 }
@@ -72,6 +76,7 @@
         settings,
         origin: Instant::now(),
         connections: Mutex::default(),
+        owed: AtomicUsize::new(0),
         metrics: metric::Agent::default(),
         stop: AtomicBool::new(false),
     });
@@ -146,10 +151,10 @@
         self.shared.perform(effects);
     }
 
-    /// Returns the number of requests and parts that still run.
+    /// Returns the number of outcomes that are owed to entries and of parts that still run.
     #[must_use]
     pub fn busy(&self) -> usize {
-        self.shared.core().busy()
+        self.shared.owed.load(Ordering::Acquire) + self.shared.core().parts()
     }
 
     /// Ends the process's threads. What still runs at the target is not waited for.
@@ -171,10 +176,13 @@
     }
 
     /// Leaves, waits until nothing runs or the time is over, then stops.
+    ///
+    /// It refuses new calls for a while before it stops, so that those on their way are told
+    /// that they did not run.
     pub fn drain(self, limit: Duration) {
         self.leave();
         let begin = Instant::now();
-        while self.busy() > 0 && begin.elapsed() < limit {
+        while begin.elapsed() < limit && (self.busy() > 0 || begin.elapsed() < LEAVE_NOTICE) {
             thread::sleep(TICK);
         }
         self.stop();
--- a/persimmondrift/src/agent/core.rs
+++ b/persimmondrift/src/agent/core.rs
@@ -96,12 +96,6 @@
         self.announce(now)
     }
 
-    /// Returns the number of requests and parts that run.
-    pub fn busy(&self) -> usize {
-        let requests = usize::try_from(self.gate.running()).unwrap_or(usize::MAX);
-        requests + self.gate.waiting() + self.holder.holdings().len()
-    }
-
     /// Returns whether it takes new work and hears an entry.
     pub fn ready(&self) -> bool {
         !self.leaving() && self.entries.alive().next().is_some()
--- a/persimmondrift/src/agent/request.rs
+++ b/persimmondrift/src/agent/request.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -60,24 +61,33 @@
         if shared.stops() {
             return;
         }
-        let body = match frame.body {
-            Body::Call(call) => {
-                let (request, class, begin) = (call.ticket.request, call.class, Instant::now());
-                let outcome = if spare { refuse(shared, &call) } else { admit(shared, call) };
-                shared.metrics.request(outcome.word(), class, begin.elapsed());
-                let now = shared.now();
-                let load = shared.core().load(now);
-                Body::Outcome(request, outcome, load)
-            }
-            Body::Cancel(ticket) => Body::Cancelled(ticket.request, cancel(shared, ticket)),
-            _ => return,
-        };
-        if wire::write(stream, &shared.link.frame(body)).is_err() {
+        // A planned stop waits until the answer is written, not just until the call has run.
+        shared.owed.fetch_add(1, Ordering::AcqRel);
+        let written = answer(shared, stream, frame.body, spare);
+        shared.owed.fetch_sub(1, Ordering::AcqRel);
+        if !written {
             return;
         }
     }
 }
 
+/// Answers one frame. Returns whether the connection can go on.
+fn answer(shared: &Shared, stream: &TcpStream, body: Body, spare: bool) -> bool {
+    let body = match body {
+        Body::Call(call) => {
+            let (request, class, begin) = (call.ticket.request, call.class, Instant::now());
+            let outcome = if spare { refuse(shared, &call) } else { admit(shared, call) };
+            shared.metrics.request(outcome.word(), class, begin.elapsed());
+            let now = shared.now();
+            let load = shared.core().load(now);
+            Body::Outcome(request, outcome, load)
+        }
+        Body::Cancel(ticket) => Body::Cancelled(ticket.request, cancel(shared, ticket)),
+        _ => return false,
+    };
+    wire::write(stream, &shared.link.frame(body)).is_ok()
+}
+
 /// Admits what may run, and ends what has waited too long.
 pub fn tick(shared: &Shared) {
     let now = shared.now();
--- a/persimmondrift/src/route.rs
+++ b/persimmondrift/src/route.rs
@@ -84,6 +84,8 @@
     Good,
     /// It fails.
     Bad,
+    /// It takes nothing new.
+    Leaving,
     /// Nothing.
     Neutral,
 }
@@ -137,6 +139,7 @@
         Outcome::Answered(_) => Verdict::Good,
         Outcome::NotRun(Cause::Unreachable)
         | Outcome::Unknown(Doubt::Broken | Doubt::Timeout | Doubt::AgentLost) => Verdict::Bad,
+        Outcome::NotRun(Cause::Leaving) => Verdict::Leaving,
         Outcome::NotRun(_) | Outcome::Unknown(_) => Verdict::Neutral,
     }
 }
--- a/persimmondrift/src/route/health.rs
+++ b/persimmondrift/src/route/health.rs
@@ -59,7 +59,7 @@
         match verdict {
             Verdict::Good => self.score -= self.score.div_ceil(WEIGHT),
             Verdict::Bad => self.score += (1_000 - self.score) / WEIGHT,
-            Verdict::Neutral => return,
+            Verdict::Leaving | Verdict::Neutral => return,
         }
         if let State::Probed(good) = self.state
             && verdict == Verdict::Good
--- a/persimmondrift/src/route/index.rs
+++ b/persimmondrift/src/route/index.rs
@@ -1,6 +1,6 @@
 //! The targets known to one entry, indexed so that a choice costs the same at any number.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -11,6 +11,10 @@
 use crate::member::{Load, Place};
 use crate::unit::{Bytes, Node, Service, Time, Zone};
 
+/// Time for which a target that has refused as leaving is passed over. By then its
+/// announcement is heard, or it is suspected.
+pub const REFUSED_FOR: Duration = Duration::from_secs(3);
+
 /// A target and what this entry knows of it.
 #[derive(Debug)]
 struct Target {
@@ -22,6 +26,8 @@
     others: u32,
     /// When the last report was taken in.
     reported: Time,
+    /// Whether it has refused a request because it is leaving.
+    refuses: bool,
     health: Health,
     open: Position,
     roomy: Position,
@@ -51,14 +57,21 @@
     targets: SlotMap<Key, Target>,
     nodes: HashMap<Node, Key>,
     groups: HashMap<Service, Group>,
+    /// The targets that refuse, and until when they are passed over.
+    refusing: VecDeque<(Time, Key)>,
 }
 
 impl Index {
     /// Creates the index of an entry at a place.
     #[must_use]
     pub fn new(place: Place) -> Self {
-        let targets = SlotMap::with_key();
-        Self { place, targets, nodes: HashMap::new(), groups: HashMap::new() }
+        Self {
+            place,
+            targets: SlotMap::with_key(),
+            nodes: HashMap::new(),
+            groups: HashMap::new(),
+            refusing: VecDeque::new(),
+        }
     }
 
     /// Takes in what a target's agent has announced.
@@ -83,6 +96,7 @@
             own: 0,
             others: facts.load.running + facts.load.waiting,
             reported: now,
+            refuses: false,
             health: Health::default(),
             open: None,
             roomy: None,
@@ -166,12 +180,15 @@
         if verdict == Verdict::Bad {
             self.consider(now, key);
         }
+        if verdict == Verdict::Leaving {
+            self.pass_over(now, key);
+        }
         self.relist(key);
     }
 
     /// Lets ejected targets be probed when their time is over.
     pub fn tick(&mut self, now: Time) {
-        let mut probed = Vec::new();
+        let mut probed = self.end_refusals(now);
         for group in self.groups.values_mut() {
             let (targets, zones) = (&mut self.targets, &mut group.zones);
             group.ejected.retain(|key| {
@@ -271,6 +288,31 @@
         group.ejected.push(key);
     }
 
+    /// Passes a target over that has refused as leaving, also when its announcement is lost.
+    fn pass_over(&mut self, now: Time, key: Key) {
+        if let Some(target) = self.targets.get_mut(key)
+            && !target.refuses
+        {
+            target.refuses = true;
+            self.refusing.push_back((now + REFUSED_FOR, key));
+        }
+    }
+
+    /// Returns the targets that are not passed over any longer.
+    fn end_refusals(&mut self, now: Time) -> Vec<Key> {
+        let mut ended = Vec::new();
+        while let Some(&(until, key)) = self.refusing.front()
+            && until <= now
+        {
+            self.refusing.pop_front();
+            if let Some(target) = self.targets.get_mut(key) {
+                target.refuses = false;
+                ended.push(key);
+            }
+        }
+        ended
+    }
+
     /// Puts a target into the sets that it belongs to.
     fn relist(&mut self, key: Key) {
         let target = &self.targets[key];
@@ -318,11 +360,11 @@
     }
 
     fn is_open(&self) -> bool {
-        self.facts.open && self.health.state() == State::In
+        self.facts.open && !self.refuses && self.health.state() == State::In
     }
 
     fn has_room(&self) -> bool {
-        self.facts.open && self.load() < self.allowed()
+        self.facts.open && !self.refuses && self.load() < self.allowed()
     }
 
     /// Returns the requests that it may have at once.
--- a/persimmondrift/tests/request_routing.rs
+++ b/persimmondrift/tests/request_routing.rs
@@ -5,6 +5,7 @@
 
 use persimmondrift::member::{Load, Place};
 use persimmondrift::route::health::EJECT_TIME;
+use persimmondrift::route::index::REFUSED_FOR;
 use persimmondrift::route::{Choice, Distance, Error, Facts, Index, Key, Verdict, remote_cost};
 use persimmondrift::unit::{Boot, Bytes, Millis, Node, Rack, Region, Service, Slots, Time, Zone};
 
@@ -232,3 +233,15 @@
     let choice = bench.choose(&[]).expect("chosen");
     assert_eq!(choice.uptime, Time::from_secs(62));
 }
+
+#[test]
+fn a_target_that_refuses_is_passed_over() {
+    let mut bench = Bench::new(&[facts("a", "a", "a1"), facts("b", "a", "a1")]);
+    let refuses = |name: &str| if name == "a" { Verdict::Leaving } else { Verdict::Good };
+    assert!(bench.share(200, refuses, "a") <= 1, "one refusal is enough");
+    assert_eq!(bench.index.ejected(&service()), 0, "it has not failed");
+    bench.now = bench.now + REFUSED_FOR;
+    bench.index.tick(bench.now);
+    let share = bench.share(1_000, |_| Verdict::Good, "a");
+    assert!((400..600).contains(&share), "it is back with its share: {share}");
+}
