--- a/persimmondrift/src/adapter/link.rs
+++ b/persimmondrift/src/adapter/link.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::unit::{Boot, Bytes, Node, Sequence};
@@ -39,7 +39,7 @@
 
 /// What a receive call brings.
 #[derive(Debug)]
-pub enum Arrival {
+enum Arrival {
     /// A frame from an address.
     Frame(SocketAddr, Frame),
     /// A malformed frame from an address.
@@ -104,8 +104,22 @@
         Ok(())
     }
 
+    /// Hands each datagram to `handle`, until the process stops. Malformed ones are logged.
+    pub fn receive_until(&self, stop: &AtomicBool, mut handle: impl FnMut(SocketAddr, Frame)) {
+        let mut buffer = vec![0; wire::DATAGRAM_BYTES + 1];
+        while !stop.load(Ordering::Relaxed) {
+            match self.receive(&mut buffer) {
+                Arrival::Frame(from, frame) => handle(from, frame),
+                Arrival::Malformed(from, error) => {
+                    crate::warn!(FrameRefused, "from {from}: {error}");
+                }
+                Arrival::Nothing => {}
+            }
+        }
+    }
+
     /// Waits a short time for a datagram.
-    pub fn receive(&self, buffer: &mut [u8]) -> Arrival {
+    fn receive(&self, buffer: &mut [u8]) -> Arrival {
         let Ok((size, from)) = self.datagrams.recv_from(buffer) else {
             return Arrival::Nothing;
         };
--- a/persimmondrift/src/adapter/operator.rs
+++ b/persimmondrift/src/adapter/operator.rs
@@ -5,9 +5,9 @@
 use subtle::ConstantTimeEq;
 
 use super::{BodyError, read_body};
+use crate::config::journal;
 use crate::config::{Change, Config};
 use crate::intent::{self, Draft};
-use crate::journal;
 use crate::place::{Outcome, Spec, Summary};
 use crate::settings::Token;
 use crate::unit::{Job, Operator, Plan, Version, Zone};
--- a/persimmondrift/src/agent.rs
+++ b/persimmondrift/src/agent.rs
@@ -10,12 +10,12 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::adapter::link::{self, Arrival, Link, Traffic};
+use crate::adapter::link::{self, Link, Traffic};
 use crate::adapter::{Http, target, watch, worker};
 use crate::metric::{self, value};
 use crate::settings;
 use crate::unit::{Time, Version};
-use crate::wire::{self, Body};
+use crate::wire::Body;
 
 use self::core::{Core, Effect};
 
@@ -217,20 +217,11 @@
     }
 
     fn receive(self: &Arc<Self>) {
-        let mut buffer = vec![0; wire::DATAGRAM_BYTES + 1];
-        while !self.stops() {
-            match self.link.receive(&mut buffer) {
-                Arrival::Frame(from, frame) => {
-                    let now = self.now();
-                    let effects = self.core().handle(now, from, frame);
-                    self.perform(effects);
-                }
-                Arrival::Malformed(from, error) => {
-                    crate::warn!(FrameRefused, "from {from}: {error}");
-                }
-                Arrival::Nothing => {}
-            }
-        }
+        self.link.receive_until(&self.stop, |from, frame| {
+            let now = self.now();
+            let effects = self.core().handle(now, from, frame);
+            self.perform(effects);
+        });
     }
 
     fn accept(self: &Arc<Self>) {
--- a/persimmondrift/src/config.rs
+++ b/persimmondrift/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, as a log of accepted changes with one rising version.
 
+pub mod journal;
 mod update;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/persimmondrift/src/entry.rs
+++ b/persimmondrift/src/entry.rs
@@ -21,7 +21,7 @@
 
 use rouille::Response;
 
-use crate::adapter::link::{self, Arrival, Link, Traffic};
+use crate::adapter::link::{self, Link, Traffic};
 use crate::adapter::object::{self, Objects};
 use crate::adapter::table::{self as platform, Table};
 use crate::adapter::{Http, caller, operator, watch};
@@ -292,20 +292,11 @@
     }
 
     fn receive(self: &Arc<Self>) {
-        let mut buffer = vec![0; wire::DATAGRAM_BYTES + 1];
-        while !self.stops() {
-            match self.link.receive(&mut buffer) {
-                Arrival::Frame(from, frame) => {
-                    let now = self.now();
-                    let effects = self.core().handle(now, from, frame);
-                    self.perform(effects);
-                }
-                Arrival::Malformed(from, error) => {
-                    crate::warn!(FrameRefused, "from {from}: {error}");
-                }
-                Arrival::Nothing => {}
-            }
-        }
+        self.link.receive_until(&self.stop, |from, frame| {
+            let now = self.now();
+            let effects = self.core().handle(now, from, frame);
+            self.perform(effects);
+        });
     }
 
     fn accept(self: &Arc<Self>) {
--- a/persimmondrift/src/entry/core/spread.rs
+++ b/persimmondrift/src/entry/core/spread.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::{Core, Effect};
+use crate::config::journal::Held;
 use crate::config::{self, Config, Record, Update};
-use crate::journal::Held;
 use crate::member::{PRESENCE_EVERY, Presence, State};
 use crate::unit::{Node, Time, Version};
 use crate::wire::Body;
--- a/persimmondrift/src/entry/operate.rs
+++ b/persimmondrift/src/entry/operate.rs
@@ -6,8 +6,8 @@
 use super::{Shared, log};
 use crate::adapter::operator::{Agent, Ask, Explained, Refusal, Status, Told};
 use crate::config::Change;
+use crate::config::journal::{self, Append, Ticket};
 use crate::intent::{self, Draft};
-use crate::journal::{self, Append, Ticket};
 use crate::member::State;
 use crate::unit::{Job, Operator, Plan, Version, Zone};
 
--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod guarantee;
 pub mod health;
 pub mod intent;
-pub mod journal;
 pub mod limit;
 pub mod log;
 pub mod member;
--- a/persimmondrift/tests/journal_faults.rs
+++ b/persimmondrift/tests/journal_faults.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use persimmondrift::config::journal::ring::Ring;
+use persimmondrift::config::journal::{Answer, Append, Call, Effect, Error, Held, Journal, Ticket};
 use persimmondrift::config::{self, Change, Config, Record, Serving};
 use persimmondrift::intent::{self, Facts};
-use persimmondrift::journal::ring::Ring;
-use persimmondrift::journal::{Answer, Append, Call, Effect, Error, Held, Journal, Ticket};
 use persimmondrift::store::{self, Row};
 use persimmondrift::unit::{Mutation, Time, Version};
 use serde_json::json;
--- a/persimmondrift/tests/version_rule.rs
+++ b/persimmondrift/tests/version_rule.rs
@@ -6,10 +6,10 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
+use persimmondrift::config::journal::ring::{PREFIX, Ring};
+use persimmondrift::config::journal::{Answer, Append, Call, Effect, Error, Held, Journal, Ticket};
 use persimmondrift::config::{self, Change, Config, Quota, Record, Serving, Update};
 use persimmondrift::intent::{self, Draft, Facts};
-use persimmondrift::journal::ring::{PREFIX, Ring};
-use persimmondrift::journal::{Answer, Append, Call, Effect, Error, Held, Journal, Ticket};
 use persimmondrift::member::Capacity;
 use persimmondrift::place::{Adjacency, Class, Eviction, Host, Outcome, Shape, Spec};
 use persimmondrift::store::{self, Row, Write};
