--- a/persimmon-agent/src/main.rs
+++ b/persimmon-agent/src/main.rs
@@ -7,6 +7,7 @@
 fn main() -> ExitCode {
     daemon::run(
         "persimmon-agent",
+        None,
         |settings: &settings::Agent| settings.process.clone(),
         agent::start,
         agent::Handle::failed,
--- a/persimmon-entry/src/main.rs
+++ b/persimmon-entry/src/main.rs
@@ -7,6 +7,7 @@
 fn main() -> ExitCode {
     daemon::run(
         "persimmon-entry",
+        None,
         |settings: &settings::Entry| settings.process.clone(),
         entry::start,
         entry::Handle::failed,
--- /dev/null
+++ b/persimmondrift/src/cell/agent.rs
@@ -0,0 +1,435 @@
+//! The agent process: threads and calls around [`super::duty`].
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use super::clock;
+use super::duty::{Action, Duty, Heartbeat, Held, StartAnswer};
+use super::grant;
+use super::job::Task;
+use super::record::{self, Life, ROLE_KEY, Role, Worker};
+use super::table::{Batch, CALL_TIMEOUT, Calls, Condition, Error, Outcome, Row, Table, Write};
+use crate::unit::{Epoch, Time, Version};
+use crate::{log, warn};
+
+/// Time between two reports of an agent that has no news.
+pub const REPORT_EVERY: Duration = Duration::from_millis(800);
+/// Longest wait for changed orders in one call.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest wait for an end in one look at a worker that runs something.
+const LOOK_BUSY: Duration = Duration::from_millis(500);
+/// Longest wait for an end in one look at an idle worker.
+const LOOK_IDLE: Duration = Duration::from_millis(1_000);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause of a thread that calls the worker.
+const CALL_PAUSE: Duration = Duration::from_millis(150);
+/// Threads that call the worker, so that one call without an answer does not hold up others.
+const CALLERS: usize = 3;
+/// Stack of a thread; they only make calls.
+pub const STACK_BYTES: usize = 256 << 10;
+
+/// Starts a run: task, run, text, checkpoint, deadline.
+pub type StartCall = dyn Fn(&Target, &Start) -> StartAnswer + Send + Sync;
+/// Stops a run. Returns whether the stop was answered.
+pub type StopCall = dyn Fn(&Target, Task, u32) -> bool + Send + Sync;
+/// Looks at the worker; nothing if it does not answer.
+pub type LookCall = dyn Fn(&Target, &Look) -> Option<Held> + Send + Sync;
+
+/// Whom a call is meant for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The life of the worker; any if its id is empty.
+    pub life: Life,
+    /// The fencing token.
+    pub token: Epoch,
+}
+
+/// A start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: u32,
+    /// Text that it is started with.
+    pub spec: String,
+    /// The checkpoint that it resumes from; empty if there is none.
+    pub checkpoint: String,
+    /// Until when it may run, on the worker's clock in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A look at a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Look {
+    /// Until when all may run, on the worker's clock in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Ends up to this number may be forgotten.
+    pub noted: u64,
+    /// How long the worker waits for an end before it answers.
+    pub wait: Duration,
+}
+
+/// The calls of a worker.
+pub struct WorkerCalls {
+    /// Starts a run.
+    pub start: Box<StartCall>,
+    /// Stops a run.
+    pub stop: Box<StopCall>,
+    /// Looks at the worker.
+    pub look: Box<LookCall>,
+}
+
+/// What an agent is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Its key among the reports.
+    pub agent: String,
+    /// Where other processes reach it.
+    pub peer: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Longest lease that its worker keeps.
+    pub longest_lease: Duration,
+}
+
+/// A running agent.
+pub struct Handle {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+struct Shared {
+    identity: Identity,
+    store: Arc<Calls>,
+    worker: WorkerCalls,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug)]
+struct State {
+    duty: Duty,
+    /// Whether there is news that the planner should have at once.
+    urgent: bool,
+    ready: bool,
+    stopping: bool,
+}
+
+impl Handle {
+    /// Starts the threads of an agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a thread that cannot be started.
+    pub fn start(
+        identity: Identity,
+        store: Arc<Calls>,
+        worker: WorkerCalls,
+    ) -> std::io::Result<Self> {
+        let duty = Duty::new(&identity.agent, None);
+        let state = State { duty, urgent: false, ready: false, stopping: false };
+        let shared = Arc::new(Shared {
+            identity,
+            store,
+            worker,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        });
+        let mut threads = Vec::new();
+        let mut start = |name: &str, body: fn(&Shared)| {
+            let shared = Arc::clone(&shared);
+            let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+            threads.push(builder.spawn(move || body(&shared))?);
+            std::io::Result::Ok(())
+        };
+        start("report", report_loop)?;
+        start("orders", order_loop)?;
+        start("look", look_loop)?;
+        for _ in 0..CALLERS {
+            start("call", call_loop)?;
+        }
+        Ok(Self { shared, threads })
+    }
+
+    /// Takes in a heartbeat of the worker.
+    pub fn heartbeat(&self, heartbeat: Heartbeat) {
+        let mut state = self.shared.lock();
+        if !state.ready {
+            // Before the last report is known, a late word of an earlier life cannot be told.
+            return;
+        }
+        let (life, draining) = (heartbeat.life.clone(), heartbeat.draining);
+        if state.duty.heartbeat(clock::now(), heartbeat) {
+            log!(WorkerHeard, "life={life} draining={draining}");
+            state.urgent = true;
+            self.shared.changed.notify_all();
+        }
+    }
+
+    /// Takes note that the worker has left.
+    pub fn left(&self, id: &str) {
+        let mut state = self.shared.lock();
+        state.duty.left(id);
+        state.urgent = true;
+        log!(WorkerLeft, "id={id}");
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns whether a thread has ended.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+    }
+
+    /// Asks the threads to end. The worker runs on under its lease.
+    pub fn stop(&self) {
+        self.shared.lock().stopping = true;
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait<'a>(&'a self, state: MutexGuard<'a, State>, span: Duration) -> MutexGuard<'a, State> {
+        let waited = self.changed.wait_timeout(state, span);
+        waited.map_or_else(|poisoned| poisoned.into_inner().0, |(state, _)| state)
+    }
+
+    fn stopping(&self) -> bool {
+        self.lock().stopping
+    }
+
+    fn target(state: &State) -> Target {
+        Target { life: state.duty.life().clone(), token: state.duty.token() }
+    }
+
+    /// Reads all orders of this agent.
+    fn scan_orders(&self) -> Result<Version, Error> {
+        let (from, to) = Duty::order_range(&self.identity.agent);
+        let snapshot = (self.store.scan)(Table::Orders, &from, &to)?;
+        let version = snapshot.version;
+        self.lock().duty.reset_orders(&snapshot);
+        self.changed.notify_all();
+        Ok(version)
+    }
+}
+
+/// Writes reports. The first one comes after the last process's report and orders were read.
+fn report_loop(shared: &Shared) {
+    let boot = fastrand::u64(1..);
+    let Some(mut version) = recover(shared) else {
+        return;
+    };
+    let mut sequence = 0;
+    // Orders have to be read again before new work, after the planner gave the agent up.
+    let mut reread = false;
+    let mut last = Time(0);
+    loop {
+        let mut state = shared.lock();
+        while !state.urgent && !state.stopping {
+            let left = REPORT_EVERY.saturating_sub(clock::now().since(last));
+            if left.is_zero() {
+                break;
+            }
+            state = shared.wait(state, left);
+        }
+        if state.stopping && !state.urgent {
+            return;
+        }
+        state.urgent = false;
+        sequence += 1;
+        let sent = clock::now();
+        let listed = state.duty.listed();
+        let worker = Worker {
+            peer: shared.identity.peer.clone(),
+            zone: shared.identity.zone.clone(),
+            boot,
+            sequence,
+            ..state.duty.report(sent)
+        };
+        drop(state);
+        last = sent;
+        match commit(shared, &worker, version) {
+            Ok(Outcome::Applied(applied)) => {
+                version = applied;
+                if reread && shared.scan_orders().is_err() {
+                    shared.lock().urgent = true;
+                    thread::sleep(RETRY_PAUSE);
+                    continue;
+                }
+                reread = false;
+                let span = grant::span(shared.identity.longest_lease);
+                shared.lock().duty.reported(sent, span, listed);
+                shared.changed.notify_all();
+            }
+            Ok(Outcome::Refused(rows)) => {
+                let row = rows.iter().find(|row| row.key == shared.identity.agent);
+                let found: Option<Worker> =
+                    row.and_then(|row| record::decode(row.value.as_deref()?));
+                version = found.as_ref().and(row).map_or(Version(0), |row| row.version);
+                let own = found.as_ref().is_some_and(|found| found.boot == boot && !found.revoked);
+                if !own {
+                    warn!(GivenUp, "version={version} removed={}", found.is_none());
+                    reread = true;
+                }
+                shared.lock().urgent = true;
+            }
+            Err(_) => {
+                shared.lock().urgent = true;
+                thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+/// Reads what the last process left behind. Returns the version of its report.
+fn recover(shared: &Shared) -> Option<Version> {
+    while !shared.stopping() {
+        let read = || -> Result<Version, Error> {
+            let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
+            let role = shared.store.get(Table::Jobs, ROLE_KEY)?;
+            let last: Option<Worker> =
+                row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+            let role: Option<Role> = role.and_then(|row| record::decode(row.value.as_deref()?));
+            {
+                let mut state = shared.lock();
+                state.duty = Duty::new(&shared.identity.agent, last.as_ref());
+                state.duty.fence(role.map_or(Epoch(1), |role| role.epoch));
+            }
+            shared.scan_orders()?;
+            Ok(row.map_or(Version(0), |row| row.version))
+        };
+        match read() {
+            Ok(version) => {
+                let mut state = shared.lock();
+                state.ready = true;
+                log!(Recovered, "report={version} life={}", state.duty.life());
+                return Some(version);
+            }
+            Err(_) => thread::sleep(RETRY_PAUSE),
+        }
+    }
+    None
+}
+
+fn commit(shared: &Shared, worker: &Worker, version: Version) -> Result<Outcome, Error> {
+    let key = shared.identity.agent.clone();
+    let batch = Batch {
+        conditions: vec![Condition { table: Table::Workers, key: key.clone(), version }],
+        writes: vec![Write { table: Table::Workers, key, value: Some(record::encode(worker)) }],
+    };
+    (shared.store.commit)(&batch, CALL_TIMEOUT)
+}
+
+/// Follows the orders.
+fn order_loop(shared: &Shared) {
+    let mut version = None;
+    while !shared.stopping() {
+        if !shared.lock().ready {
+            thread::sleep(RETRY_PAUSE);
+            continue;
+        }
+        let Some(after) = version else {
+            match shared.scan_orders() {
+                Ok(read) => version = Some(read),
+                Err(_) => thread::sleep(RETRY_PAUSE),
+            }
+            continue;
+        };
+        match (shared.store.watch)(Table::Orders, after, WATCH_WAIT) {
+            Ok(snapshot) => {
+                version = Some(snapshot.version.max(after));
+                if !snapshot.rows.is_empty() {
+                    let own: &[Row] = &snapshot.rows;
+                    shared.lock().duty.ordered(own);
+                    shared.changed.notify_all();
+                }
+            }
+            Err(Error::Compacted) => version = None,
+            Err(_) => thread::sleep(RETRY_PAUSE),
+        }
+    }
+}
+
+/// Looks at the worker again and again, and extends its lease.
+fn look_loop(shared: &Shared) {
+    while !shared.stopping() {
+        let (target, look, sent) = {
+            let mut state = shared.lock();
+            if !state.ready {
+                drop(state);
+                thread::sleep(RETRY_PAUSE);
+                continue;
+            }
+            let sent = clock::now();
+            let known = state.duty.extend(sent);
+            let wait = match (known, state.duty.is_busy()) {
+                (None, _) => Duration::ZERO,
+                (Some(_), true) => LOOK_BUSY,
+                (Some(_), false) => LOOK_IDLE,
+            };
+            let look = Look { deadline_ms: known, noted: state.duty.noted(), wait };
+            (Shared::target(&state), look, sent)
+        };
+        let held = (shared.worker.look)(&target, &look);
+        let now = clock::now();
+        let mut state = shared.lock();
+        if let Some(held) = held {
+            if state.duty.held(sent, now, &held) {
+                state.urgent = true;
+            }
+            drop(state);
+            shared.changed.notify_all();
+        } else {
+            if state.duty.lapse(now) {
+                warn!(LeaseLapsed, "life={}", state.duty.life());
+                state.urgent = true;
+                shared.changed.notify_all();
+            }
+            drop(state);
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+}
+
+/// Makes the calls that are due.
+fn call_loop(shared: &Shared) {
+    loop {
+        let mut state = shared.lock();
+        let action = loop {
+            if state.stopping {
+                return;
+            }
+            match state.duty.next(clock::now()) {
+                Some(action) => break action,
+                None => state = shared.wait(state, CALL_PAUSE),
+            }
+        };
+        let target = Shared::target(&state);
+        drop(state);
+        match action {
+            Action::Start { task, run, spec, checkpoint, deadline_ms } => {
+                let start = Start { task, run, spec, checkpoint, deadline_ms };
+                let answer = (shared.worker.start)(&target, &start);
+                log!(
+                    TaskStarted,
+                    "task={task} run={run} life={} token={} answer={answer:?}",
+                    target.life,
+                    target.token
+                );
+                shared.lock().duty.start_answered(clock::now(), task, run, answer);
+            }
+            Action::Stop { task, run } => {
+                let answered = (shared.worker.stop)(&target, task, run);
+                log!(TaskStopped, "task={task} run={run} life={} answered={answered}", target.life);
+                shared.lock().duty.stop_sent(clock::now(), task, run, answered);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/cell/duty.rs
@@ -0,0 +1,513 @@
+//! What an agent does with its orders: from orders and the worker's own lists to calls.
+//!
+//! Nobody else calls the worker, so the agent alone knows what may be running there. A start
+//! without an answer may be carried out later; until a list that was asked for after the answer
+//! to its stop shows otherwise, its room counts as taken.
+
+mod run;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::grant::WorkerClock;
+use super::job::{Room, Task};
+use super::mirror::Mirror;
+use super::record::{self, Condition, End, Ending, Life, Order, OrderTask, Running, Worker};
+use super::table::{Row, Snapshot};
+use crate::unit::{Epoch, Time};
+
+use run::Run;
+
+/// Time without an answer of the worker after which it gets no new work.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+/// Time without an answer after which leases are not extended any more, so that they lapse.
+const EXTEND_FOR: Duration = Duration::from_millis(1_000);
+/// Ends that a worker lists at most in one answer.
+const LISTED_MOST: usize = 500;
+
+/// What a worker says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Its life.
+    pub life: Life,
+    /// Orders the heartbeats of a life.
+    pub sequence: u64,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Its kind, its rack and other labels.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub capacity: Room,
+    /// Time that a draining worker still has, in milliseconds.
+    pub remaining_ms: u32,
+    /// Time for which it stays slow after its start, in milliseconds.
+    pub cold_ms: u32,
+}
+
+/// A worker's answer to a look at it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Held {
+    /// When the worker started, in milliseconds since 1970.
+    pub born_ms: u64,
+    /// The worker's clock in milliseconds.
+    pub clock_ms: u64,
+    /// What runs: task, run, newest checkpoint, percent done.
+    pub running: Vec<(Task, u32, String, u8)>,
+    /// What has ended: number, task, run, how, newest checkpoint.
+    pub finished: Vec<(u64, Task, u32, Ending, String)>,
+}
+
+/// A worker's answer to a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// It runs.
+    Started,
+    /// This run, or a later one, was there before.
+    Old,
+    /// The lease had lapsed when the call came.
+    Late,
+    /// There is no room.
+    NoRoom,
+    /// The fencing token is too low.
+    Fenced,
+    /// The worker refused, and has done nothing.
+    Refused,
+    /// The worker has another life.
+    OtherLife,
+    /// No answer: it may have started, or may yet.
+    NoAnswer,
+}
+
+/// A call that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// To start a run.
+    Start {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: u32,
+        /// Text that it is started with.
+        spec: String,
+        /// The checkpoint that it resumes from; empty if there is none.
+        checkpoint: String,
+        /// Until when it may run, on the worker's clock in milliseconds.
+        deadline_ms: u64,
+    },
+    /// To stop a run.
+    Stop {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: u32,
+    },
+}
+
+/// The state of an agent.
+#[derive(Debug)]
+pub struct Duty {
+    agent: String,
+    announced: Option<Heartbeat>,
+    drained_by: Option<Time>,
+    /// The life that the runs belong to.
+    life: Life,
+    orders: Mirror<Order>,
+    /// Runs that an earlier process may have started; nothing before the first look at the orders.
+    inherited: Option<BTreeSet<(Task, u32)>>,
+    /// When the last worker that has left had started, in milliseconds since 1970.
+    departed_ms: u64,
+    runs: BTreeMap<(Task, u32), Run>,
+    ends: Vec<End>,
+    clock: Option<WorkerClock>,
+    /// When the last look at the worker was answered.
+    looked: Option<Time>,
+    grant_until: Time,
+    /// The end of the longest lease that may be in force at the worker.
+    lease_until: Time,
+    /// The highest number of an end that the worker has listed.
+    listed: u64,
+    /// Ends up to this number are in a report that the store has.
+    noted: u64,
+    token: Epoch,
+}
+
+impl Duty {
+    /// Creates the state of an agent that starts, with the last report that the store has.
+    #[must_use]
+    pub fn new(agent: &str, last: Option<&Worker>) -> Self {
+        Self {
+            agent: agent.to_owned(),
+            announced: None,
+            drained_by: None,
+            life: last.map(|last| last.life.clone()).unwrap_or_default(),
+            orders: Mirror::default(),
+            inherited: None,
+            departed_ms: 0,
+            runs: BTreeMap::new(),
+            ends: last.map(|last| last.ends.clone()).unwrap_or_default(),
+            clock: None,
+            looked: None,
+            grant_until: Time(0),
+            lease_until: Time(0),
+            listed: 0,
+            noted: 0,
+            token: Epoch(0),
+        }
+    }
+
+    /// Takes in what the worker says of itself. A late word of an earlier life, or one that a
+    /// later one has overtaken, changes nothing. Returns whether the planner should know at once.
+    pub fn heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> bool {
+        let born_ms = heartbeat.life.born_ms;
+        if born_ms < self.life.born_ms || born_ms <= self.departed_ms {
+            return false;
+        }
+        if heartbeat.life != self.life {
+            self.reset(heartbeat.life.clone());
+        }
+        let before = self.announced.as_ref();
+        if before.is_some_and(|before| before.sequence >= heartbeat.sequence) {
+            return false;
+        }
+        let news = before.is_none_or(|before| {
+            before.draining != heartbeat.draining || before.capacity != heartbeat.capacity
+        });
+        if heartbeat.draining {
+            let left = Duration::from_millis(heartbeat.remaining_ms.into());
+            self.drained_by = Some(now + left);
+        }
+        self.announced = Some(heartbeat);
+        self.sync();
+        news
+    }
+
+    /// Takes note that the worker has left: all that it ran is over.
+    pub fn left(&mut self, id: &str) {
+        if self.life.id == id {
+            let born_ms = self.life.born_ms;
+            self.departed_ms = born_ms;
+            self.reset(Life { born_ms, id: String::new() });
+        }
+    }
+
+    /// Takes in changed orders.
+    pub fn ordered(&mut self, rows: &[Row]) {
+        for row in rows {
+            if self.is_own(&row.key) {
+                self.orders.apply(row);
+            }
+        }
+        self.sync();
+    }
+
+    /// Takes in all orders as of one moment.
+    pub fn reset_orders(&mut self, snapshot: &Snapshot) {
+        self.orders.reset(snapshot);
+        if self.inherited.is_none() {
+            self.inherited = Some(wanted(&self.orders).into_keys().collect());
+        }
+        self.sync();
+    }
+
+    /// Returns the range of keys of this agent's orders.
+    #[must_use]
+    pub fn order_range(agent: &str) -> (String, String) {
+        // '0' follows '/' in the order of bytes.
+        (format!("{agent}/"), format!("{agent}0"))
+    }
+
+    /// Takes note that the store has a report that was sent at `sent`, together with all ends
+    /// up to `listed`.
+    pub fn reported(&mut self, sent: Time, span: Duration, listed: u64) {
+        self.grant_until = self.grant_until.max(sent + span);
+        self.noted = self.noted.max(listed);
+    }
+
+    /// Returns the highest number of an end that the worker has listed.
+    #[must_use]
+    pub fn listed(&self) -> u64 {
+        self.listed
+    }
+
+    /// Returns up to which number the worker may forget ends.
+    #[must_use]
+    pub fn noted(&self) -> u64 {
+        self.noted
+    }
+
+    /// Returns the fencing token of the next call.
+    #[must_use]
+    pub fn token(&self) -> Epoch {
+        self.token
+    }
+
+    /// Takes in the epoch of a planner.
+    pub fn fence(&mut self, epoch: Epoch) {
+        self.token = self.token.max(epoch);
+    }
+
+    /// Returns the life that calls are meant for.
+    #[must_use]
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+
+    /// Returns the lease to ask for with the next look, on the worker's clock in milliseconds.
+    pub fn extend(&mut self, now: Time) -> Option<u64> {
+        let looked = self.looked?;
+        // A worker that does not answer is left to lapse, at a time that is known.
+        if now.since(looked) > EXTEND_FOR {
+            return None;
+        }
+        self.deadline(now)
+    }
+
+    /// Takes in the worker's answer to a look that was sent at `sent`.
+    pub fn held(&mut self, sent: Time, now: Time, held: &Held) -> bool {
+        if held.born_ms < self.life.born_ms {
+            return false;
+        }
+        if held.born_ms > self.life.born_ms {
+            // A new life that has not announced itself yet.
+            self.reset(Life { born_ms: held.born_ms, id: String::new() });
+            return true;
+        }
+        self.clock = Some(WorkerClock { shown_ms: held.clock_ms, heard: now });
+        self.looked = Some(now);
+        for (task, run, checkpoint, percent) in &held.running {
+            let own = self.runs.entry((*task, *run)).or_insert_with(|| Run::stray(now));
+            own.seen(now, checkpoint, *percent);
+        }
+        let before = self.ends.len();
+        for (number, task, run, ending, checkpoint) in &held.finished {
+            self.listed = self.listed.max(*number);
+            if let Some(own) = self.runs.remove(&(*task, *run)) {
+                self.end(*task, *run, &own, *ending, checkpoint);
+            }
+        }
+        if held.finished.len() < LISTED_MOST {
+            self.miss(sent, held);
+        }
+        self.sync();
+        self.ends.len() != before
+    }
+
+    /// Ends the runs that the worker should have listed and has not.
+    fn miss(&mut self, sent: Time, held: &Held) {
+        let listed =
+            |key: &(Task, u32)| held.running.iter().any(|(task, run, ..)| (*task, *run) == *key);
+        let missing: Vec<((Task, u32), Ending)> = self
+            .runs
+            .iter()
+            .filter(|(key, _)| !listed(key))
+            .filter_map(|(key, run)| Some((*key, run.missing(sent)?)))
+            .collect();
+        for ((task, run), ending) in missing {
+            if let Some(own) = self.runs.remove(&(task, run)) {
+                self.end(task, run, &own, ending, "");
+            }
+        }
+    }
+
+    /// Ends what the worker cannot be running any more, since it has not answered and its lease
+    /// has lapsed. Returns whether there was such a run.
+    pub fn lapse(&mut self, now: Time) -> bool {
+        let silent = self.looked.is_none_or(|looked| now.since(looked) > SILENT_AFTER);
+        if !silent || now <= self.lease_until {
+            return false;
+        }
+        let begun: Vec<(Task, u32)> =
+            self.runs.iter().filter(|(_, run)| run.is_begun()).map(|(key, _)| *key).collect();
+        for key in &begun {
+            if let Some(own) = self.runs.remove(key) {
+                self.end(key.0, key.1, &own, Ending::Lapsed, "");
+            }
+        }
+        !begun.is_empty()
+    }
+
+    /// Returns a call that is due, and takes note that it is on its way.
+    pub fn next(&mut self, now: Time) -> Option<Action> {
+        let deadline = self.deadline(now);
+        let draining = self.announced.as_ref().is_some_and(|worker| worker.draining);
+        let strays = self.runs.values().any(|run| run.is_stray());
+        let capacity = self.announced.as_ref().map(|worker| worker.capacity)?;
+        let begun = self.runs.values().filter(|run| run.is_begun());
+        let used = begun.fold(Room::default(), |used, run| used + run.need);
+        let lease = &mut self.lease_until;
+        for (&(task, number), run) in &mut self.runs {
+            if !run.is_due(now) {
+                continue;
+            }
+            if run.stop {
+                if run.is_begun() && !run.stop_answered() {
+                    run.call();
+                    return Some(Action::Stop { task, run: number });
+                }
+                continue;
+            }
+            let fits = run.is_begun() || capacity.holds(used + run.need);
+            let (false, false, true, Some(deadline_ms)) = (draining, strays, fits, deadline) else {
+                continue;
+            };
+            if run.is_started() {
+                continue;
+            }
+            *lease = (*lease).max(self.grant_until);
+            run.begin();
+            let (spec, checkpoint) = (run.spec.clone(), run.checkpoint.clone());
+            return Some(Action::Start { task, run: number, spec, checkpoint, deadline_ms });
+        }
+        None
+    }
+
+    /// Takes in the answer to a start.
+    pub fn start_answered(&mut self, now: Time, task: Task, run: u32, answer: StartAnswer) {
+        if let Some(own) = self.runs.get_mut(&(task, run)) {
+            own.start_answered(now, answer);
+        }
+        self.sync();
+    }
+
+    /// Takes in whether a stop was answered.
+    pub fn stop_sent(&mut self, now: Time, task: Task, run: u32, answered: bool) {
+        if let Some(own) = self.runs.get_mut(&(task, run)) {
+            own.stop_sent(now, answered);
+        }
+    }
+
+    /// Returns whether the worker runs, or may run, anything.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.runs.is_empty()
+    }
+
+    /// Returns what the planner is to know.
+    #[must_use]
+    pub fn report(&self, now: Time) -> Worker {
+        let Some(worker) = &self.announced else {
+            return Worker {
+                life: self.life.clone(),
+                ends: self.ends.clone(),
+                running: self.running(now),
+                ..Worker::default()
+            };
+        };
+        let silent = self.looked.is_none_or(|looked| now.since(looked) > SILENT_AFTER);
+        let condition = match (worker.draining, silent) {
+            (true, _) => Condition::Draining,
+            (false, true) => Condition::Silent,
+            (false, false) => Condition::Ready,
+        };
+        let remaining = self.drained_by.map_or(Duration::ZERO, |until| until.since(now));
+        Worker {
+            life: self.life.clone(),
+            condition,
+            service: worker.service.clone(),
+            labels: worker.labels.clone(),
+            capacity: worker.capacity,
+            remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+            cold_ms: worker.cold_ms,
+            running: self.running(now),
+            ends: self.ends.clone(),
+            ..Worker::default()
+        }
+    }
+
+    fn running(&self, now: Time) -> Vec<Running> {
+        let started = self.runs.iter().filter(|(_, run)| run.is_started());
+        started.map(|(&(task, number), run)| run.running(now, task, number)).collect()
+    }
+
+    fn is_own(&self, key: &str) -> bool {
+        record::parse_order_key(key).is_some_and(|(agent, _)| agent == self.agent)
+    }
+
+    fn deadline(&mut self, now: Time) -> Option<u64> {
+        let deadline = self.clock?.deadline_ms(now, self.grant_until)?;
+        self.lease_until = self.lease_until.max(self.grant_until);
+        Some(deadline)
+    }
+
+    /// Begins a new life of the worker, in which nothing runs yet.
+    fn reset(&mut self, life: Life) {
+        self.life = life;
+        self.announced = None;
+        self.drained_by = None;
+        self.runs.clear();
+        self.clock = None;
+        self.looked = None;
+        self.lease_until = Time(0);
+        self.listed = 0;
+        self.noted = 0;
+        self.sync();
+    }
+
+    /// Brings the runs in line with the orders.
+    fn sync(&mut self) {
+        let draining = self.announced.as_ref().is_some_and(|worker| worker.draining);
+        let wanted = wanted(&self.orders);
+        let inherited = self.inherited.as_ref();
+        let epochs = self.orders.iter().map(|(_, _, order)| order.epoch);
+        let token = epochs.max().unwrap_or_default().max(self.token);
+        // The planner has taken in what it does not order any more.
+        self.ends.retain(|end| wanted.contains_key(&(end.task, end.run)));
+        for (key, (order, task)) in &wanted {
+            let ended = self.ends.iter().any(|end| (end.task, end.run) == *key);
+            if order.life != self.life || self.life.id.is_empty() || ended {
+                continue;
+            }
+            let begun = inherited.is_some_and(|keys| keys.contains(key));
+            let run = self.runs.entry(*key).or_insert_with(|| Run::wanted(order, task, begun));
+            run.adopt(order, task);
+        }
+        for (key, run) in &mut self.runs {
+            if !wanted.contains_key(key) {
+                run.stop = true;
+            }
+        }
+        let ordered: BTreeSet<(Task, u32)> = wanted.into_keys().collect();
+        self.token = token;
+        let refused: Vec<(Task, u32)> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_begun() && (run.stop || draining))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in refused {
+            if let Some(run) = self.runs.remove(&key)
+                && ordered.contains(&key)
+            {
+                let checkpoint = run.checkpoint;
+                self.ends.push(End {
+                    task: key.0,
+                    run: key.1,
+                    ending: Ending::Refused,
+                    checkpoint,
+                });
+            }
+        }
+    }
+
+    fn end(&mut self, task: Task, number: u32, run: &Run, ending: Ending, checkpoint: &str) {
+        let known = if checkpoint.is_empty() { run.newest() } else { checkpoint };
+        let checkpoint = known.to_owned();
+        self.ends.push(End { task, run: number, ending, checkpoint });
+    }
+}
+
+/// Returns the ordered runs.
+fn wanted(orders: &Mirror<Order>) -> BTreeMap<(Task, u32), (&Order, &OrderTask)> {
+    let mut wanted = BTreeMap::new();
+    for (key, _, order) in orders.iter() {
+        let Some((_, group)) = record::parse_order_key(key) else {
+            continue;
+        };
+        for task in &order.tasks {
+            wanted.insert((group.task(task.index), task.run), (order, task));
+        }
+    }
+    wanted
+}
--- /dev/null
+++ b/persimmondrift/src/cell/entry.rs
@@ -0,0 +1,276 @@
+//! The entry process: threads and calls around acceptance, succession and the planner.
+
+mod plan;
+mod serve;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use super::access::{Access, Config};
+use super::agent::STACK_BYTES;
+use super::clock;
+use super::mirror::Jobs;
+use super::planner;
+use super::role::Succession;
+use super::table::{Calls, Error, Row, Table};
+use crate::unit::{Time, Version};
+use crate::{log, warn};
+
+/// Longest wait for changed jobs in one call. Shorter than what counts as watching the role.
+const WATCH_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait for a changed configuration, after which a read proves that there is none.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Key of the configuration among what operators wrote.
+const CONFIG_KEY: &str = "config";
+
+/// Decodes the configuration that operators wrote; nothing if it is malformed.
+pub type DecodeCall = dyn Fn(&[u8]) -> Option<Config> + Send + Sync;
+
+/// What an entry goes by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Its name, by which it holds the role.
+    pub name: String,
+    /// Time within which a removed key must be refused.
+    pub revoke_within: Duration,
+    /// How long a worker may run on after its agent's last report.
+    pub grant: Duration,
+    /// How long the state of an ended job is kept.
+    pub keep: Duration,
+    /// How long a gang's members wait for each other.
+    pub gang_wait: Duration,
+}
+
+/// A running entry.
+pub struct Handle {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What the threads of an entry share.
+struct Shared {
+    settings: Settings,
+    store: Arc<Calls>,
+    decode: Box<DecodeCall>,
+    state: Mutex<State>,
+    changed: Condvar,
+    stopping: AtomicBool,
+    /// Shortest time that a read of the store took, in microseconds.
+    distance: AtomicU64,
+}
+
+struct State {
+    jobs: Jobs,
+    /// Whether the table of jobs was read once.
+    loaded: bool,
+    access: Access,
+    succession: Succession,
+    /// Counts changes, so that the planner sees whether there is news.
+    changes: u64,
+}
+
+impl Handle {
+    /// Starts the threads of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a thread that cannot be started.
+    pub fn start(
+        settings: Settings,
+        store: Arc<Calls>,
+        decode: Box<DecodeCall>,
+    ) -> std::io::Result<Self> {
+        let state = State {
+            jobs: Jobs::default(),
+            loaded: false,
+            access: Access::new(settings.revoke_within),
+            succession: Succession::default(),
+            changes: 0,
+        };
+        let shared = Arc::new(Shared {
+            settings,
+            store,
+            decode,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            stopping: AtomicBool::new(false),
+            distance: AtomicU64::new(u64::MAX),
+        });
+        let mut threads = Vec::new();
+        let mut start = |name: &str, body: fn(&Arc<Shared>)| {
+            let shared = Arc::clone(&shared);
+            let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+            threads.push(builder.spawn(move || body(&shared))?);
+            std::io::Result::Ok(())
+        };
+        start("config", config_loop)?;
+        start("jobs", job_loop)?;
+        start("plan", plan::run)?;
+        Ok(Self { shared, threads })
+    }
+
+    /// Returns whether a thread has ended.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+    }
+
+    /// Gives the planner's role back and ends the threads that the callers do not need.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait<'a>(&'a self, state: MutexGuard<'a, State>, span: Duration) -> MutexGuard<'a, State> {
+        let waited = self.changed.wait_timeout(state, span);
+        waited.map_or_else(|poisoned| poisoned.into_inner().0, |(state, _)| state)
+    }
+
+    fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Takes in rows of the table of jobs.
+    fn apply(&self, rows: &[Row]) {
+        let mut state = self.lock();
+        let changed = rows.iter().filter(|row| state.jobs.apply(row)).count();
+        if changed > 0 {
+            state.changes += 1;
+            drop(state);
+            self.changed.notify_all();
+        }
+    }
+
+    fn measure(&self, sent: Time) {
+        let took = u64::try_from(clock::now().since(sent).as_micros()).unwrap_or(u64::MAX);
+        self.distance.fetch_min(took, Ordering::Relaxed);
+    }
+
+    fn distance(&self) -> Duration {
+        Duration::from_micros(self.distance.load(Ordering::Relaxed).min(1_000_000))
+    }
+
+    /// Reads the whole table of jobs.
+    fn load_jobs(&self) -> Result<Version, Error> {
+        let sent = clock::now();
+        let snapshot = (self.store.scan)(Table::Jobs, "", "")?;
+        self.measure(sent);
+        let version = snapshot.version;
+        let mut state = self.lock();
+        state.jobs.reset(snapshot);
+        state.loaded = true;
+        state.changes += 1;
+        let role = state.jobs.role().0;
+        state.succession.read(sent, clock::now(), role);
+        drop(state);
+        self.changed.notify_all();
+        Ok(version)
+    }
+}
+
+/// Follows the table of jobs. It goes on while the process drains, for callers that ask.
+fn job_loop(shared: &Arc<Shared>) {
+    let mut version = None;
+    loop {
+        let Some(after) = version else {
+            match shared.load_jobs() {
+                Ok(read) => version = Some(read),
+                Err(_) => thread::sleep(RETRY_PAUSE),
+            }
+            continue;
+        };
+        let sent = clock::now();
+        match (shared.store.watch)(Table::Jobs, after, WATCH_WAIT) {
+            Ok(snapshot) => {
+                version = Some(snapshot.version.max(after));
+                shared.apply(&snapshot.rows);
+                let mut state = shared.lock();
+                let role = state.jobs.role().0;
+                state.succession.read(sent, clock::now(), role);
+                state.jobs.prune(after);
+                drop(state);
+                shared.changed.notify_all();
+            }
+            Err(Error::Compacted) => version = None,
+            Err(_) => thread::sleep(RETRY_PAUSE),
+        }
+    }
+}
+
+/// Follows the configuration. A watch brings changes at once; a read after each quiet one proves
+/// that there were none, since a watch may miss changes for a while.
+fn config_loop(shared: &Arc<Shared>) {
+    let mut after = None;
+    let mut known = Version(0);
+    loop {
+        if let Some(version) = after {
+            match (shared.store.watch)(Table::Operator, version, CONFIG_WAIT) {
+                Ok(snapshot) => {
+                    after = Some(snapshot.version.max(version));
+                }
+                Err(Error::Compacted) => after = None,
+                Err(_) => thread::sleep(RETRY_PAUSE),
+            }
+        }
+        let sent = clock::now();
+        let end = format!("{CONFIG_KEY}\0");
+        match (shared.store.scan)(Table::Operator, CONFIG_KEY, &end) {
+            Ok(snapshot) => {
+                after = after.or(Some(snapshot.version));
+                if let Some(row) = snapshot.rows.first() {
+                    prove(shared, row, &mut known, sent);
+                }
+            }
+            Err(error) => {
+                let age = shared.lock().access.age(clock::now());
+                warn!(
+                    StoreFailed,
+                    "call=config error=\"{error}\" proof_age_ms={}",
+                    age.as_millis()
+                );
+                thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+/// Takes in the configuration that a read sent at `sent` showed.
+fn prove(shared: &Shared, row: &Row, known: &mut Version, sent: Time) {
+    if row.version == *known {
+        shared.lock().access.unchanged(sent);
+        return;
+    }
+    let Some(config) = row.value.as_deref().and_then(|value| (shared.decode)(value)) else {
+        warn!(RowRefused, "key=config version={} malformed", row.version);
+        return;
+    };
+    *known = row.version;
+    let config = Arc::new(config);
+    let mut state = shared.lock();
+    if state.access.proved(&config, sent) {
+        log!(InForce, "config={} row={}", config.version, row.version);
+        state.changes += 1;
+        drop(state);
+        shared.changed.notify_all();
+    }
+}
+
+/// Returns what a planner of this entry goes by.
+fn planner_settings(settings: &Settings) -> planner::Settings {
+    planner::Settings {
+        grant: settings.grant,
+        keep: settings.keep,
+        gang_wait: settings.gang_wait,
+        report_every: super::agent::REPORT_EVERY,
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/cell/intake.rs
@@ -0,0 +1,134 @@
+//! Durable acceptance and cancelling of jobs.
+//!
+//! A job is a row that is inserted on condition that it is absent, so one id is one job at
+//! whichever entry it arrives, and a write that comes late changes nothing.
+
+use std::thread;
+use std::time::Duration;
+
+use super::access::Queue;
+use super::clock;
+use super::job::Id;
+use super::record::{self, Job};
+use super::table::{Batch, CALL_TIMEOUT, Calls, Condition, Error, Outcome, Row, Table, Write};
+use crate::unit::{Time, Version};
+
+/// Pause between two tries, so that a store that refuses is not pressed.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time after which a job is refused when the store keeps saying that nothing was done. Short,
+/// so that the caller can try another entry within its own time.
+const REFUSE_AFTER: Duration = Duration::from_millis(600);
+
+/// What became of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Acceptance {
+    /// The job is stored.
+    Accepted,
+    /// The id was cancelled before the job came; it never runs.
+    Barred,
+    /// The job is not stored and never will be by this submission.
+    Refused,
+    /// It is not known whether the job is stored.
+    Unknown,
+}
+
+/// What became of a cancelling.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cancelling {
+    /// It is stored.
+    Cancelled,
+    /// No such job exists, and none will be accepted under this id.
+    Absent,
+    /// It is not known whether it is stored.
+    Unknown,
+}
+
+/// Stores a job, and returns what became of it no later than `give_up`.
+#[must_use]
+pub fn accept(calls: &Calls, id: Id, job: &Job, give_up: Time) -> (Acceptance, Option<Row>) {
+    let key = record::job_key(id);
+    let batch = insertion(&key, Version(0), job);
+    let begin = clock::now();
+    let mut unsure = false;
+    loop {
+        let left = give_up.since(clock::now());
+        if left.is_zero() {
+            return (if unsure { Acceptance::Unknown } else { Acceptance::Refused }, None);
+        }
+        match (calls.commit)(&batch, left.min(CALL_TIMEOUT)) {
+            Ok(Outcome::Applied(version)) => {
+                return (Acceptance::Accepted, Some(stored(&batch, version)));
+            }
+            Ok(Outcome::Refused(rows)) => return judge(&rows, &key),
+            Err(Error::NotDone) => {
+                if !unsure && clock::now().since(begin) >= REFUSE_AFTER {
+                    return (Acceptance::Refused, None);
+                }
+                thread::sleep(RETRY_PAUSE);
+            }
+            Err(_) => unsure = true,
+        }
+    }
+}
+
+/// Judges a submission by the row that was there already.
+fn judge(rows: &[Row], key: &str) -> (Acceptance, Option<Row>) {
+    let found = rows.iter().find(|row| row.key == key);
+    let job: Option<Job> = found.and_then(|row| record::decode(row.value.as_deref()?));
+    let acceptance = match job {
+        Some(Job { request: Some(_), .. }) => Acceptance::Accepted,
+        Some(_) => Acceptance::Barred,
+        None => Acceptance::Unknown,
+    };
+    (acceptance, found.cloned())
+}
+
+/// Stores that a job is cancelled, and returns what became of it no later than `give_up`.
+///
+/// An id that no job has is barred, so that a submission on its way cannot become a job after
+/// its caller was told that it does not exist.
+#[must_use]
+pub fn cancel(calls: &Calls, id: Id, give_up: Time) -> (Cancelling, Option<Row>) {
+    let key = record::job_key(id);
+    while !give_up.since(clock::now()).is_zero() {
+        let Ok(row) = calls.get(Table::Jobs, &key) else {
+            thread::sleep(RETRY_PAUSE);
+            continue;
+        };
+        let version = row.as_ref().map_or(Version(0), |row| row.version);
+        let job: Option<Job> = row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+        let known = job.as_ref().is_some_and(|job| job.request.is_some());
+        let done = if known { Cancelling::Cancelled } else { Cancelling::Absent };
+        if job.as_ref().is_some_and(|job| job.cancelled) {
+            return (done, row);
+        }
+        let mut job = job.unwrap_or(Job {
+            queue: Queue::default(),
+            workspace: None,
+            accepted_ms: clock::wall_ms(),
+            cancelled: true,
+            request: None,
+        });
+        job.cancelled = true;
+        let batch = insertion(&key, version, &job);
+        let left = give_up.since(clock::now()).min(CALL_TIMEOUT);
+        if let Ok(Outcome::Applied(version)) = (calls.commit)(&batch, left) {
+            return (done, Some(stored(&batch, version)));
+        }
+    }
+    (Cancelling::Unknown, None)
+}
+
+fn insertion(key: &str, version: Version, job: &Job) -> Batch {
+    let key = key.to_owned();
+    Batch {
+        conditions: vec![Condition { table: Table::Jobs, key: key.clone(), version }],
+        writes: vec![Write { table: Table::Jobs, key, value: Some(record::encode(job)) }],
+    }
+}
+
+/// Returns the row that a batch of one write has left behind.
+fn stored(batch: &Batch, version: Version) -> Row {
+    let write = &batch.writes[0];
+    Row { table: write.table, key: write.key.clone(), version, value: write.value.clone() }
+}
--- /dev/null
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -0,0 +1,137 @@
+//! The rows of a round, with its changes on top.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Input, Note, Plan, request_of};
+use crate::cell::job::{Group, Id, Request};
+use crate::cell::record::{self, Order, Progress};
+use crate::cell::table::{Condition, Table, Write};
+
+/// Most entries of a batch, conditions included; the store takes 100.
+pub const ENTRIES_MOST: usize = 90;
+
+/// Names the orders of an agent for a group.
+pub type OrderKey = (String, Group);
+
+/// The rows of a round, with its changes on top.
+pub struct Draft<'a> {
+    /// What the round started from.
+    pub input: Input<'a>,
+    /// All orders as they will be; an empty one is removed.
+    pub orders: BTreeMap<OrderKey, Order>,
+    progress: BTreeMap<Id, Progress>,
+    changed_orders: BTreeSet<OrderKey>,
+    changed_progress: BTreeSet<Id>,
+    /// Jobs whose rows are removed.
+    pub forgotten: Vec<Id>,
+    /// The round's result so far, apart from orders and progress.
+    pub plan: Plan,
+}
+
+impl<'a> Draft<'a> {
+    /// Creates a draft without changes.
+    pub fn new(input: Input<'a>) -> Self {
+        let orders = input.orders.iter().filter_map(|(key, _, order)| {
+            let (agent, group) = record::parse_order_key(key)?;
+            Some(((agent.to_owned(), group), order.clone()))
+        });
+        Self {
+            input,
+            orders: orders.collect(),
+            progress: BTreeMap::new(),
+            changed_orders: BTreeSet::new(),
+            changed_progress: BTreeSet::new(),
+            forgotten: Vec::new(),
+            plan: Plan::default(),
+        }
+    }
+
+    /// Returns how many more entries the batch takes.
+    pub fn left(&self) -> usize {
+        // The role row is a condition and a write.
+        let used = self.changed_orders.len()
+            + self.changed_progress.len()
+            + 2 * self.forgotten.len()
+            + self.plan.conditions.len()
+            + self.plan.writes.len()
+            + 2;
+        ENTRIES_MOST.saturating_sub(used)
+    }
+
+    /// Returns the progress of a job as it will be.
+    pub fn progress(&mut self, id: Id, request: &Request) -> &Progress {
+        self.load(id, request)
+    }
+
+    /// Returns the progress of a job to be changed.
+    pub fn change_progress(&mut self, id: Id, request: &Request) -> &mut Progress {
+        self.changed_progress.insert(id);
+        self.load(id, request)
+    }
+
+    /// Returns the orders of an agent for a group to be changed.
+    pub fn change_order(&mut self, key: &OrderKey) -> Option<&mut Order> {
+        self.changed_orders.insert(key.clone());
+        self.orders.get_mut(key)
+    }
+
+    /// Adds orders for a group that the agent has none for.
+    pub fn add_order(&mut self, key: OrderKey, order: Order) {
+        self.changed_orders.insert(key.clone());
+        self.orders.insert(key, order);
+    }
+
+    /// Returns which agents have orders for a group.
+    pub fn agents_of(&self, group: Group) -> Vec<OrderKey> {
+        let of_group =
+            self.orders.iter().filter(|((_, own), order)| *own == group && !order.tasks.is_empty());
+        of_group.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Turns the changes into a batch.
+    pub fn finish(mut self) -> Plan {
+        let mut write = |table, key: String, value| {
+            self.plan.writes.push(Write { table, key, value });
+        };
+        for key in &self.changed_orders {
+            let order = self.orders.get(key).filter(|order| !order.tasks.is_empty());
+            write(Table::Orders, record::order_key(&key.0, key.1), order.map(record::encode));
+        }
+        for id in &self.changed_progress {
+            let progress = self.progress.get(id).map(record::encode);
+            write(Table::Jobs, record::progress_key(*id), progress);
+        }
+        for id in &self.forgotten {
+            write(Table::Jobs, record::job_key(*id), None);
+            write(Table::Jobs, record::progress_key(*id), None);
+        }
+        self.plan
+    }
+
+    /// Adds a condition, once.
+    pub fn require(&mut self, condition: Condition) {
+        if !self.plan.conditions.contains(&condition) {
+            self.plan.conditions.push(condition);
+        }
+    }
+
+    /// Adds a decision for the log.
+    pub fn note(&mut self, note: Note) {
+        self.plan.notes.push(note);
+    }
+
+    /// Returns the ids of all accepted jobs that have not been forgotten.
+    pub fn job_ids(&self) -> Vec<Id> {
+        let keys = self.input.jobs.accepted.iter();
+        let ids = keys.filter_map(|(key, _, _)| key.strip_prefix(record::JOB_PREFIX)?.parse().ok());
+        ids.filter(|id| request_of(self.input.jobs, *id).is_some()).collect()
+    }
+
+    fn load(&mut self, id: Id, request: &Request) -> &mut Progress {
+        let jobs = self.input.jobs;
+        self.progress.entry(id).or_insert_with(|| {
+            let known = jobs.progress.get(&record::progress_key(id));
+            known.cloned().unwrap_or_else(|| Progress::new(request))
+        })
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -0,0 +1,298 @@
+//! What has happened since the last round: ends, stops and final states.
+
+use std::time::Duration;
+
+use super::draft::{Draft, OrderKey};
+use super::{Cause, Note, Planner, queue_of, request_of};
+use crate::cell::job::{Group, Id, Task};
+use crate::cell::record::{Condition as Readiness, End, Ending, Order, Phase, State, Worker};
+use crate::cell::table::{Condition, Table};
+
+/// Time without progress after which a task is stopped. A percent of the longest task takes a
+/// fraction of a second, also on a slow worker.
+const STALL: Duration = Duration::from_millis(2_500);
+/// Share of the wait of a gang's members after which the gang is stopped if it is incomplete.
+const GANG_WAIT_PERCENT: u32 = 60;
+/// Time that a draining worker must have left beyond a task's expected end.
+const DRAIN_SLACK_MS: u32 = 500;
+/// How much longer than declared a task is expected to take, in percent.
+const OVERRUN_PERCENT: u64 = 130;
+
+/// What became of an order.
+enum Fate {
+    /// All its runs are over, though nobody listed their ends.
+    Over,
+    /// The agent's report tells.
+    Reported,
+}
+
+impl Planner {
+    /// Takes in the ends of runs.
+    pub(super) fn fold(&mut self, draft: &mut Draft<'_>) {
+        let keys: Vec<OrderKey> = draft.orders.keys().cloned().collect();
+        for key in keys {
+            if draft.left() < 4 {
+                return;
+            }
+            let ends = self.ends(draft, &key);
+            if ends.is_empty() {
+                continue;
+            }
+            self.take_in(draft, &key, &ends);
+        }
+    }
+
+    /// Returns the ends of the runs of an order.
+    fn ends(&self, draft: &mut Draft<'_>, key: &OrderKey) -> Vec<End> {
+        let (agent, group) = key;
+        let order = &draft.orders[key];
+        let input = draft.input;
+        let worker = input.workers.get(agent);
+        let fate = match worker {
+            None => Fate::Over,
+            Some(worker) if worker.life != order.life => Fate::Over,
+            Some(worker) if self.has_lapsed(&input, agent, worker) => Fate::Over,
+            Some(_) => Fate::Reported,
+        };
+        let mut ends = reported(order, *group, worker);
+        if matches!(fate, Fate::Over) {
+            // What the agent has listed has ended so, whatever became of its worker since.
+            let listed: Vec<u16> = ends.iter().map(|end| end.task.index).collect();
+            let unlisted = self.lapsed(order, *group).into_iter();
+            ends.extend(unlisted.filter(|end| !listed.contains(&end.task.index)));
+            // The agent may report again in the meantime; then its runs have not lapsed.
+            let version = input.workers.version(agent);
+            draft.require(Condition { table: Table::Workers, key: agent.clone(), version });
+        }
+        ends
+    }
+
+    fn lapsed(&self, order: &Order, group: Group) -> Vec<End> {
+        let end = |task: &crate::cell::record::OrderTask| {
+            let id = group.task(task.index);
+            let known = self.checkpoints.get(&id).filter(|(run, _)| *run == task.run);
+            let checkpoint =
+                known.map_or_else(|| task.checkpoint.clone(), |(_, text)| text.clone());
+            End { task: id, run: task.run, ending: Ending::Lapsed, checkpoint }
+        };
+        order.tasks.iter().map(end).collect()
+    }
+
+    fn take_in(&mut self, draft: &mut Draft<'_>, key: &OrderKey, ends: &[End]) {
+        let (agent, group) = key;
+        if let Some((_, request)) = request_of(draft.input.jobs, group.job) {
+            let progress = draft.change_progress(group.job, request);
+            for end in ends {
+                progress.end(request, end);
+            }
+        }
+        for end in ends {
+            match end.ending {
+                Ending::Done => self.health.trust(agent),
+                Ending::Failed => self.health.suspect(draft.input.now, agent),
+                _ => {}
+            }
+            self.checkpoints.remove(&end.task);
+            let (task, run, ending) = (end.task, end.run, end.ending);
+            draft.note(Note::Ended { task, run, agent: agent.clone(), ending });
+        }
+        if let Some(order) = draft.change_order(key) {
+            order.tasks.retain(|task| !ends.iter().any(|end| end.task.index == task.index));
+        }
+    }
+
+    /// Marks the runs that are to be stopped.
+    pub(super) fn interrupt(&mut self, draft: &mut Draft<'_>) {
+        let keys: Vec<OrderKey> = draft.orders.keys().cloned().collect();
+        for key in keys {
+            if draft.left() < 2 {
+                return;
+            }
+            let (agent, group) = &key;
+            let order = &draft.orders[&key];
+            if order.tasks.iter().all(|task| task.stop) {
+                continue;
+            }
+            if let Some(cause) = self.cause_for_all(draft, *group) {
+                stop_group(draft, *group, cause);
+                continue;
+            }
+            for (task, cause) in self.causes(draft, &key) {
+                if cause == Cause::Stalled {
+                    self.health.suspect(draft.input.now, agent);
+                }
+                stop(draft, task, cause);
+            }
+        }
+        self.ordered.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
+    }
+
+    /// Returns why all runs of a group are to be stopped, if they are.
+    fn cause_for_all(&self, draft: &mut Draft<'_>, group: Group) -> Option<Cause> {
+        let input = draft.input;
+        let (job, request) = request_of(input.jobs, group.job)?;
+        if job.cancelled {
+            return Some(Cause::Cancelled);
+        }
+        let attempts = queue_of(input.config, job).attempts;
+        let progress = draft.progress(group.job, request);
+        if progress.state.is_final() || progress.is_spent(request, attempts) {
+            return Some(Cause::JobOver);
+        }
+        let step = request.steps.get(usize::from(group.step))?;
+        if !step.gang {
+            return None;
+        }
+        let tasks = progress.group(request, group);
+        if tasks.iter().any(|task| task.phase != Phase::Ordered) {
+            return Some(Cause::GangBroken);
+        }
+        let wait = self.settings.gang_wait * GANG_WAIT_PERCENT / 100;
+        let since = self.ordered.get(&group)?;
+        if input.now.since(*since) < wait {
+            return None;
+        }
+        let started = |(agent, own): &OrderKey, order: &Order| {
+            let worker = input.workers.get(agent);
+            let runs = worker.map_or(&[][..], |worker| &worker.running);
+            order.tasks.iter().all(|task| {
+                runs.iter().any(|run| run.task == own.task(task.index) && run.run == task.run)
+            })
+        };
+        let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
+        (!members.all(|(key, order)| started(key, order))).then_some(Cause::GangLate)
+    }
+
+    /// Returns which runs of an order are to be stopped for the sake of their worker.
+    fn causes(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<(Task, Cause)> {
+        let (agent, group) = key;
+        let Some(worker) = draft.input.workers.get(agent) else {
+            return Vec::new();
+        };
+        let step = request_of(draft.input.jobs, group.job)
+            .and_then(|(_, request)| request.steps.get(usize::from(group.step)));
+        let Some(step) = step else {
+            return Vec::new();
+        };
+        let stall_ms = u32::try_from(STALL.as_millis()).unwrap_or(u32::MAX);
+        let cause = |index: u16, run: u32| {
+            let task = group.task(index);
+            let running = worker.running.iter().find(|own| own.task == task && own.run == run);
+            let percent = running.map_or(0, |running| running.percent);
+            if worker.condition == Readiness::Draining {
+                let rest = u64::from(step.estimate_ms) * u64::from(100 - percent.min(100)) / 100;
+                let rest = rest * OVERRUN_PERCENT / 100;
+                let left = u64::from(worker.remaining_ms.saturating_sub(DRAIN_SLACK_MS));
+                return (step.lasting || rest > left).then_some(Cause::Draining);
+            }
+            let still = running.is_some_and(|running| running.still_ms >= stall_ms);
+            (still && percent < 100 && !step.lasting).then_some(Cause::Stalled)
+        };
+        let tasks = draft.orders[key].tasks.iter().filter(|task| !task.stop);
+        tasks
+            .filter_map(|task| Some((group.task(task.index), cause(task.index, task.run)?)))
+            .collect()
+    }
+
+    /// Sets final states, and forgets jobs that ended long ago.
+    pub(super) fn conclude(&mut self, draft: &mut Draft<'_>) {
+        let input = draft.input;
+        for id in draft.job_ids() {
+            if draft.left() < 4 {
+                return;
+            }
+            let Some((job, request)) = request_of(input.jobs, id) else {
+                continue;
+            };
+            let attempts = queue_of(input.config, job).attempts;
+            let ordered = draft
+                .orders
+                .iter()
+                .any(|((_, group), order)| group.job == id && !order.tasks.is_empty());
+            let progress = draft.progress(id, request);
+            if progress.state.is_final() {
+                let keep_ms = u64::try_from(self.settings.keep.as_millis()).unwrap_or(u64::MAX);
+                if !ordered && input.wall_ms.saturating_sub(progress.ended_ms) > keep_ms {
+                    draft.forgotten.push(id);
+                }
+                continue;
+            }
+            let state = if progress.is_complete() {
+                State::Completed
+            } else if job.cancelled {
+                if ordered {
+                    continue;
+                }
+                State::Cancelled
+            } else if progress.is_spent(request, attempts) {
+                State::Failed
+            } else {
+                continue;
+            };
+            conclude(draft, id, state, job.accepted_ms);
+        }
+    }
+}
+
+fn conclude(draft: &mut Draft<'_>, id: Id, state: State, accepted_ms: u64) {
+    let wall_ms = draft.input.wall_ms;
+    if let Some((_, request)) = request_of(draft.input.jobs, id) {
+        let progress = draft.change_progress(id, request);
+        progress.state = state;
+        progress.ended_ms = wall_ms;
+    }
+    draft.note(Note::Concluded { job: id, state, after_ms: wall_ms.saturating_sub(accepted_ms) });
+}
+
+/// Returns the ends of an order that the agent's report lists.
+fn reported(order: &Order, group: Group, worker: Option<&Worker>) -> Vec<End> {
+    let Some(worker) = worker else {
+        return Vec::new();
+    };
+    let ordered = |end: &&End| {
+        end.task.group() == group
+            && order.tasks.iter().any(|task| task.index == end.task.index && task.run == end.run)
+    };
+    worker.ends.iter().filter(ordered).cloned().collect()
+}
+
+/// Marks a run to be stopped, and with it the whole gang that it belongs to.
+pub(super) fn stop(draft: &mut Draft<'_>, task: Task, cause: Cause) {
+    let group = task.group();
+    let gang = request_of(draft.input.jobs, group.job)
+        .and_then(|(_, request)| request.steps.get(usize::from(group.step)))
+        .is_some_and(|step| step.gang);
+    if gang {
+        stop_group(draft, group, cause);
+        return;
+    }
+    for key in draft.agents_of(group) {
+        if draft.orders[&key].tasks.iter().any(|own| own.index == task.index && !own.stop) {
+            mark(draft, &key, Some(task.index), cause);
+        }
+    }
+}
+
+/// Marks all runs of a group to be stopped.
+pub(super) fn stop_group(draft: &mut Draft<'_>, group: Group, cause: Cause) {
+    for key in draft.agents_of(group) {
+        if draft.orders[&key].tasks.iter().any(|task| !task.stop) {
+            mark(draft, &key, None, cause);
+        }
+    }
+}
+
+fn mark(draft: &mut Draft<'_>, key: &OrderKey, index: Option<u16>, cause: Cause) {
+    let mut marked = Vec::new();
+    if let Some(order) = draft.change_order(key) {
+        for task in &mut order.tasks {
+            if !task.stop && index.is_none_or(|index| index == task.index) {
+                task.stop = true;
+                marked.push(key.1.task(task.index));
+            }
+        }
+    }
+    for task in marked {
+        draft.note(Note::Stopped { task, agent: key.0.clone(), cause });
+    }
+}
--- /dev/null
+++ b/persimmondrift/src/cell/progress.rs
@@ -0,0 +1,138 @@
+//! How far a job is, and what its ends make of it.
+
+use super::job::{Group, Id, Request, Step, Task};
+use super::record::{End, Ending, Phase, Progress, State, TaskProgress};
+
+impl Progress {
+    /// Creates the progress of a job that has not begun.
+    #[must_use]
+    pub fn new(request: &Request) -> Self {
+        let steps: usize = request.steps.iter().map(|step| usize::from(step.width)).sum();
+        let occurrences = usize::try_from(request.occurrences()).unwrap_or(usize::MAX);
+        let tasks = vec![TaskProgress::default(); steps.saturating_mul(occurrences)];
+        Self { state: State::Queued, ended_ms: 0, tasks }
+    }
+
+    /// Returns the progress of the tasks of a group, in the order of their indices.
+    #[must_use]
+    pub fn group(&self, request: &Request, group: Group) -> &[TaskProgress] {
+        let range = range(request, group);
+        self.tasks.get(range).unwrap_or_default()
+    }
+
+    /// Returns the progress of the tasks of a group, to be changed.
+    pub fn group_mut(&mut self, request: &Request, group: Group) -> &mut [TaskProgress] {
+        let range = range(request, group);
+        self.tasks.get_mut(range).unwrap_or_default()
+    }
+
+    /// Returns whether all tasks of a step have ended well.
+    #[must_use]
+    pub fn step_done(&self, request: &Request, group: Group) -> bool {
+        self.group(request, group).iter().all(|task| task.phase == Phase::Done)
+    }
+
+    /// Returns the groups whose turn has come and that have a task that waits.
+    #[must_use]
+    pub fn startable(&self, id: Id, request: &Request, wall_ms: u64) -> Vec<Group> {
+        let due = request.schedule.map_or(1, |schedule| schedule.due(wall_ms));
+        let mut groups = Vec::new();
+        for occurrence in 0..due {
+            for (number, step) in (0_u16..).zip(&request.steps) {
+                let group = Group { job: id, occurrence, step: number };
+                let ready = step
+                    .after
+                    .iter()
+                    .all(|&before| self.step_done(request, Group { step: before, ..group }));
+                let tasks = self.group(request, group);
+                let waits = if step.gang {
+                    tasks.iter().all(|task| task.phase == Phase::Waiting)
+                } else {
+                    tasks.iter().any(|task| task.phase == Phase::Waiting)
+                };
+                if ready && waits && !tasks.is_empty() {
+                    groups.push(group);
+                }
+            }
+        }
+        groups
+    }
+
+    /// Takes in the end of a run. An end of another run than the newest changes nothing.
+    pub fn end(&mut self, request: &Request, end: &End) {
+        let group = end.task.group();
+        let Some(step) = request.steps.get(usize::from(group.step)) else {
+            return;
+        };
+        let tasks = self.group_mut(request, group);
+        let Some(task) = tasks.get_mut(usize::from(end.task.index)) else {
+            return;
+        };
+        if task.run != end.run || task.phase != Phase::Ordered {
+            return;
+        }
+        task.phase = Phase::Waiting;
+        if !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.ending {
+            Ending::Done if step.lasting => {}
+            Ending::Done if step.gang => {
+                // The members end together, so the end of one stands for all.
+                for task in tasks {
+                    task.phase = Phase::Done;
+                }
+            }
+            Ending::Done => task.phase = Phase::Done,
+            Ending::Failed if step.gang => {
+                let first = &mut tasks[0];
+                if first.failed_run != end.run {
+                    first.failed_run = end.run;
+                    first.failures += 1;
+                }
+            }
+            Ending::Failed => task.failures += 1,
+            _ => {}
+        }
+    }
+
+    /// Returns whether a task, or a gang, has failed as often as it may.
+    #[must_use]
+    pub fn is_spent(&self, request: &Request, attempts: u16) -> bool {
+        let mut first = 0;
+        for step in request.steps.iter().cycle() {
+            if first >= self.tasks.len() {
+                return false;
+            }
+            let end = (first + usize::from(step.width)).min(self.tasks.len());
+            let failures = self.tasks[first..end].iter().map(|task| task.failures).max();
+            if !step.lasting && failures.unwrap_or(0) >= attempts.max(1) {
+                return true;
+            }
+            first = end.max(first + 1);
+        }
+        false
+    }
+
+    /// Returns whether all tasks of all occurrences have ended well.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.tasks.iter().all(|task| task.phase == Phase::Done)
+    }
+}
+
+/// Returns where the tasks of a group stand among all tasks of a job.
+fn range(request: &Request, group: Group) -> std::ops::Range<usize> {
+    let width = |steps: &[Step]| steps.iter().map(|step| usize::from(step.width)).sum::<usize>();
+    let step = usize::from(group.step).min(request.steps.len());
+    let occurrence = usize::try_from(group.occurrence).unwrap_or(usize::MAX);
+    let begin = occurrence.saturating_mul(width(&request.steps)) + width(&request.steps[..step]);
+    let own = request.steps.get(step).map_or(0, |step| usize::from(step.width));
+    begin..begin + own
+}
+
+/// Returns the task that an index of a group names.
+#[must_use]
+pub fn task_at(group: Group, index: usize) -> Task {
+    group.task(u16::try_from(index).unwrap_or(u16::MAX))
+}
--- /dev/null
+++ b/persimmondrift/src/cell/table.rs
@@ -0,0 +1,134 @@
+//! The port to the platform's transactional store.
+
+use std::time::Duration;
+
+use crate::unit::Version;
+
+/// Time given to one call of the store. A call takes 70 ms across regions.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The tables that the system uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Table {
+    /// Accepted jobs, their progress, and the planner's role.
+    Jobs,
+    /// What each agent is told to run.
+    Orders,
+    /// What each agent reports.
+    Workers,
+    /// What operators wrote; read only.
+    Operator,
+    /// What operators read.
+    Status,
+}
+
+/// A row, or the mark that it was removed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Its table.
+    pub table: Table,
+    /// Its key.
+    pub key: String,
+    /// The transaction that wrote or removed it.
+    pub version: Version,
+    /// Its value; nothing if it was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A write of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The table.
+    pub table: Table,
+    /// The key.
+    pub key: String,
+    /// The new value; nothing to remove the row.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A condition on one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    /// The table.
+    pub table: Table,
+    /// The key.
+    pub key: String,
+    /// The version that the row must have; 0 if it must not exist.
+    pub version: Version,
+}
+
+/// An atomic batch.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Batch {
+    /// What must hold.
+    pub conditions: Vec<Condition>,
+    /// What is written if it holds.
+    pub writes: Vec<Write>,
+}
+
+/// What became of a batch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was applied as this version.
+    Applied(Version),
+    /// A condition failed; these are the rows of the conditions.
+    Refused(Vec<Row>),
+}
+
+/// Rows as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Snapshot {
+    /// The rows, by key.
+    pub rows: Vec<Row>,
+    /// The newest version at that moment.
+    pub version: Version,
+    /// The store's steady clock in milliseconds.
+    pub now_ms: u64,
+}
+
+/// Why a call has no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The store said that nothing was done.
+    #[error("the store refused the call; nothing was done")]
+    NotDone,
+    /// No answer came: a write may have taken effect, or may yet.
+    #[error("the store gave no answer")]
+    NoAnswer,
+    /// The history that was asked for is no longer kept.
+    #[error("the store no longer has this history")]
+    Compacted,
+    /// The answer is malformed.
+    #[error("the store gave a malformed answer")]
+    Malformed,
+}
+
+/// Applies a batch, all or nothing.
+pub type CommitCall = dyn Fn(&Batch, Duration) -> Result<Outcome, Error> + Send + Sync;
+/// Reads the rows of a table from a key up to another, which is excluded. Empty keys are open ends.
+pub type ScanCall = dyn Fn(Table, &str, &str) -> Result<Snapshot, Error> + Send + Sync;
+/// Waits for rows of a table that changed after a version.
+pub type WatchCall = dyn Fn(Table, Version, Duration) -> Result<Snapshot, Error> + Send + Sync;
+
+/// The calls of the store.
+pub struct Calls {
+    /// Applies a batch, all or nothing.
+    pub commit: Box<CommitCall>,
+    /// Reads a range of rows.
+    pub scan: Box<ScanCall>,
+    /// Waits for changed rows.
+    pub watch: Box<WatchCall>,
+}
+
+impl Calls {
+    /// Reads one row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] if the store could not be read.
+    pub fn get(&self, table: Table, key: &str) -> Result<Option<Row>, Error> {
+        let end = format!("{key}\0");
+        let mut found = (self.scan)(table, key, &end)?;
+        Ok(found.rows.pop())
+    }
+}
--- a/persimmondrift/src/daemon.rs
+++ b/persimmondrift/src/daemon.rs
@@ -8,7 +8,7 @@
 use std::{io, panic, thread};
 
 use serde::de::DeserializeOwned;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag;
 
 use crate::settings::{self, Process};
@@ -54,16 +54,17 @@
 
 /// Runs a daemon until a signal asks it to stop, and returns its exit code.
 ///
-/// `process` picks the common settings, `start` starts it, `failed` tells whether one of its
+/// `file` is the settings file if the command line names none, `process` picks the common settings, `start` starts it, `failed` tells whether one of its
 /// threads has ended, and `stop` carries out the planned stop.
 pub fn run<S: DeserializeOwned, H: Send + 'static>(
     name: &str,
+    file: Option<PathBuf>,
     process: impl Fn(&S) -> Process,
     start: impl FnOnce(S) -> io::Result<H>,
     failed: impl Fn(&H) -> bool,
     stop: impl FnOnce(H, &Process) + Send + 'static,
 ) -> ExitCode {
-    let result = read_arguments().and_then(|ask| match ask {
+    let result = read_arguments(file).and_then(|ask| match ask {
         Ask::Help => {
             print!("{}", help(name));
             Ok(ExitCode::SUCCESS)
@@ -114,7 +115,7 @@
     )
 }
 
-fn read_arguments() -> Result<Ask, Error> {
+fn read_arguments(default: Option<PathBuf>) -> Result<Ask, Error> {
     let mut parser = lexopt::Parser::from_env();
     let mut check = false;
     let mut file = None;
@@ -126,7 +127,7 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let file = file.ok_or(Error::NoFile)?;
+    let file = file.or(default).ok_or(Error::NoFile)?;
     Ok(if check { Ask::Check(file) } else { Ask::Run(file) })
 }
 
@@ -143,6 +144,8 @@
         flag::register_conditional_shutdown(signal, EXIT_START.into(), Arc::clone(&asked))?;
         flag::register(signal, Arc::clone(&asked))?;
     }
+    // Says that the settings file has changed; what it names is read again at the next start.
+    flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
     let panicked = watch_panics();
     let handle = start()?;
     while !asked.load(Ordering::Relaxed) {
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -2,8 +2,7 @@
 
 use std::fmt;
 
-#[doc(hidden)]
-pub use ::spdlog;
+use crate::metric;
 
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal,)+) => {
@@ -41,6 +40,16 @@
     MemberLost = 204,
     /// A member that had said that it leaves is gone.
     MemberLeft = 205,
+    /// A worker announced a new life or a change of itself.
+    WorkerHeard = 206,
+    /// A worker has left.
+    WorkerLeft = 207,
+    /// An agent found that the planner had given it up.
+    GivenUp = 208,
+    /// An agent has read what its last process left behind.
+    Recovered = 209,
+    /// A worker answered a look with something else than its lists.
+    WorkerRefused = 210,
     /// A target was chosen for a request.
     Routed = 301,
     /// No target was chosen for a request.
@@ -49,6 +58,10 @@
     Retried = 303,
     /// What became of a request.
     Concluded = 304,
+    /// A caller was answered.
+    CallerAnswered = 305,
+    /// A job was submitted.
+    JobSubmitted = 306,
     /// A job was placed.
     Placed = 401,
     /// An attempt of a job is stopped.
@@ -69,6 +82,12 @@
     PartEnded = 409,
     /// An attempt of an earlier planner was found.
     AttemptAdopted = 410,
+    /// A task was started at a worker, or its start was refused.
+    TaskStarted = 411,
+    /// A task was told to stop at a worker.
+    TaskStopped = 412,
+    /// A worker did not answer until its lease had lapsed.
+    LeaseLapsed = 413,
     /// A plan was made.
     Planned = 501,
     /// An intent is refused.
@@ -97,20 +116,30 @@
     }
 }
 
+/// Counts an event and logs it at the information level.
+pub fn inform(event: Event, text: fmt::Arguments<'_>) {
+    metric::event(event);
+    spdlog::info!("{event} {text}");
+}
+
+/// Counts an event and logs it at the warning level.
+pub fn alert(event: Event, text: fmt::Arguments<'_>) {
+    metric::event(event);
+    spdlog::warn!("{event} {text}");
+}
+
 /// Logs an event at the information level, with its number, name and text.
 #[macro_export]
 macro_rules! log {
-    ($event:ident, $($text:tt)+) => {{
-        $crate::metric::event($crate::event::Event::$event);
-        $crate::event::spdlog::info!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    }};
+    ($event:ident, $($text:tt)+) => {
+        $crate::event::inform($crate::event::Event::$event, format_args!($($text)+))
+    };
 }
 
 /// Logs an event at the warning level, with its number, name and text.
 #[macro_export]
 macro_rules! warn {
-    ($event:ident, $($text:tt)+) => {{
-        $crate::metric::event($crate::event::Event::$event);
-        $crate::event::spdlog::warn!("{} {}", $crate::event::Event::$event, format_args!($($text)+))
-    }};
+    ($event:ident, $($text:tt)+) => {
+        $crate::event::alert($crate::event::Event::$event, format_args!($($text)+))
+    };
 }
--- a/persimmondrift/src/lib.rs
+++ b/persimmondrift/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod admit;
 pub mod agent;
+pub mod cell;
 pub mod claim;
 pub mod config;
 pub mod daemon;
