--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -13,6 +13,7 @@
 use super::clock;
 use super::mirror::Jobs;
 use super::planner;
+use super::record::ROLE_KEY;
 use super::role::Succession;
 use super::table::{Calls, Error, Row, Table};
 use crate::unit::{Time, Version};
@@ -189,24 +190,43 @@
             }
             continue;
         };
-        let sent = clock::now();
-        match (shared.store.watch)(Table::Jobs, after, WATCH_WAIT) {
+        version = match (shared.store.watch)(Table::Jobs, after, WATCH_WAIT) {
+            Ok(snapshot) if snapshot.rows.is_empty() => prove_role(shared, after),
             Ok(snapshot) => {
-                version = Some(snapshot.version.max(after));
                 shared.apply(&snapshot.rows);
+                // The answer is of the time when it was given, however long the watch waited.
+                let now = clock::now();
                 let mut state = shared.lock();
                 let role = state.jobs.role().0;
-                state.succession.read(sent, clock::now(), role);
+                state.succession.read(now, now, role);
                 state.jobs.prune(after);
                 drop(state);
                 shared.changed.notify_all();
+                Some(snapshot.version.max(after))
             }
-            Err(Error::Compacted) => version = None,
-            Err(_) => thread::sleep(RETRY_PAUSE),
-        }
+            Err(_) => None,
+        };
     }
 }
 
+/// Reads the role row after a quiet watch, since its holder writes it all the time. Returns where
+/// the watch goes on; nothing if it has missed changes.
+fn prove_role(shared: &Shared, after: Version) -> Option<Version> {
+    let sent = clock::now();
+    let row = shared.store.get(Table::Jobs, ROLE_KEY).ok()?;
+    shared.measure(sent);
+    let version = row.map_or(Version(0), |row| row.version);
+    if version > after {
+        return None;
+    }
+    let mut state = shared.lock();
+    let known = state.jobs.role().0;
+    state.succession.read(sent, clock::now(), known);
+    drop(state);
+    shared.changed.notify_all();
+    Some(after)
+}
+
 /// Follows the configuration. A watch brings changes at once; a read after each quiet one proves
 /// that there were none, since a watch may miss changes for a while.
 fn config_loop(shared: &Arc<Shared>) {
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -183,6 +183,8 @@
             Some(after) => (shared.store.watch)(Table::Workers, after, REPORT_WAIT),
         };
         match read {
+            // Agents report all the time, so a watch without news may have missed some.
+            Ok(snapshot) if version.is_some() && snapshot.rows.is_empty() => version = None,
             Ok(snapshot) => {
                 let mut workers =
                     cell.workers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -200,7 +202,7 @@
                 shared.lock().changes += 1;
                 shared.changed.notify_all();
             }
-            Err(Error::Compacted) => version = None,
+            Err(_) if version.is_some() => version = None,
             Err(_) => thread::sleep(RETRY_PAUSE),
         }
     }
--- a/persimmondrift/src/cell/intake.rs
+++ b/persimmondrift/src/cell/intake.rs
@@ -46,6 +46,10 @@
 /// Stores a job, and returns what became of it no later than `give_up`.
 #[must_use]
 pub fn accept(calls: &Calls, id: Id, job: &Job, give_up: Time) -> (Acceptance, Option<Row>) {
+    if (calls.away)() {
+        // Nothing was sent, so it is sure that the job will not run.
+        return (Acceptance::Refused, None);
+    }
     let key = record::job_key(id);
     let batch = insertion(&key, Version(0), job);
     let begin = clock::now();
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -154,6 +154,8 @@
     settings: Settings,
     /// The newest version of each agent's report, and when it was first seen.
     heard: HashMap<String, (Version, Time)>,
+    /// When the last successful read of the reports came back.
+    read: Time,
     health: Health,
     /// When the members of a gang were ordered.
     ordered: HashMap<Group, Time>,
@@ -168,6 +170,7 @@
         Self {
             settings,
             heard: HashMap::new(),
+            read: Time(0),
             health: Health::default(),
             ordered: HashMap::new(),
             checkpoints: HashMap::new(),
--- a/persimmondrift/src/cell/planner/watch.rs
+++ b/persimmondrift/src/cell/planner/watch.rs
@@ -17,6 +17,13 @@
 impl Planner {
     /// Takes note of new reports.
     pub(super) fn listen(&mut self, input: &Input<'_>) {
+        if input.reports_read.since(self.read) > READ_AGE_MOST {
+            // The store was away: its silence is not the agents'.
+            for (_, at) in self.heard.values_mut() {
+                *at = input.now;
+            }
+        }
+        self.read = self.read.max(input.reports_read);
         for (agent, version, worker) in input.workers.iter() {
             let heard = self.heard.entry(agent.to_owned()).or_insert((Version(0), input.now));
             // The planner's own mark is no sign of life.
--- a/persimmondrift/src/cell/table.rs
+++ b/persimmondrift/src/cell/table.rs
@@ -110,14 +110,19 @@
 /// Waits for rows of a table that changed after a version.
 pub type WatchCall = dyn Fn(Table, Version, Duration) -> Result<Snapshot, Error> + Send + Sync;
 
+/// Returns whether all calls have failed for a while.
+pub type AwayCall = dyn Fn() -> bool + Send + Sync;
+
 /// The calls of the store.
 pub struct Calls {
     /// Applies a batch, all or nothing.
     pub commit: Box<CommitCall>,
     /// Reads a range of rows.
     pub scan: Box<ScanCall>,
-    /// Waits for changed rows.
+    /// Waits for changed rows. A watch may miss changes for a while, so silence proves nothing.
     pub watch: Box<WatchCall>,
+    /// Returns whether all calls have failed for a while.
+    pub away: Box<AwayCall>,
 }
 
 impl Calls {
--- a/persimmondrift/src/daemon.rs
+++ b/persimmondrift/src/daemon.rs
@@ -174,13 +174,18 @@
     })
 }
 
-/// Logs each panic of any thread, and remembers it.
+/// Part of the path of the HTTP library's sources. It panics on a connection that was reset
+/// before it was served; only that connection is lost.
+const HTTP_LIBRARY: &str = "tiny_http-";
+
+/// Logs each panic of any thread, and remembers those that end more than a connection.
 fn watch_panics() -> Arc<AtomicBool> {
     let panicked = Arc::new(AtomicBool::new(false));
     let flag = Arc::clone(&panicked);
     let before = panic::take_hook();
     panic::set_hook(Box::new(move |info| {
-        flag.store(true, Ordering::Relaxed);
+        let of_connection = info.location().is_some_and(|at| at.file().contains(HTTP_LIBRARY));
+        flag.fetch_or(!of_connection, Ordering::Relaxed);
         metric::panicked();
         crate::warn!(Panicked, "{}", info.to_string().replace('\n', " "));
         before(info);
