Rest suspected workers, order by slack, and take room for what is urgent

Jobs with 1.9 s of slack waited behind jobs with 20 s. Change: trust in a worker falls by what becomes of its work; a group is not placed where it failed; timely work first, by priority and slack; urgent work may stop less urgent at a bounded loss.

--- a/persimmondrift/src/cell/health.rs
+++ b/persimmondrift/src/cell/health.rs
@@ -1,19 +1,34 @@
 //! Workers that look sound and are not: judged by what becomes of the work on them.
 //!
 //! Answers the load of workers that fail, hang or slow down all that they start while they
-//! report that they are well. A suspected worker is placed on last instead of never, so that
-//! work goes on when all are suspected.
+//! report that they are well. Since such a worker is soon empty again, it would draw in all that
+//! waits; so it gets nothing for a while, and then one task, until one is done.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::unit::Time;
 
-/// Time for which a worker is suspected after the first event; twice as long after each further
-/// one. About as long as a short task runs, so that a sound worker is back soon.
-const SUSPECT_FOR: Duration = Duration::from_secs(5);
-/// Longest time for which a worker is suspected.
-const SUSPECT_MOST: Duration = Duration::from_secs(40);
+/// Events in a row after which a worker gets no work: a single failure is mostly the task's own.
+const EVENTS_MOST: u32 = 2;
+/// Time without work after that many events; twice as long after each further one. About as long
+/// as a short task runs.
+const REST_FIRST: Duration = Duration::from_secs(3);
+/// Longest time without work.
+const REST_MOST: Duration = Duration::from_secs(24);
+
+/// How far a worker is trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Trust {
+    /// It gets work.
+    Full,
+    /// It gets work last.
+    Doubted,
+    /// It gets one task, to see whether it is sound again.
+    Probed,
+    /// It gets nothing.
+    Resting,
+}
 
 #[derive(Debug, Default)]
 struct Record {
@@ -28,12 +43,14 @@
 }
 
 impl Health {
-    /// Takes note that a task failed or hung on an agent's worker.
-    pub fn suspect(&mut self, now: Time, agent: &str) {
+    /// Takes note of events that speak against an agent's worker.
+    pub fn suspect(&mut self, now: Time, agent: &str, events: u32) {
         let record = self.workers.entry(agent.to_owned()).or_default();
-        record.events = record.events.saturating_add(1);
-        let span = SUSPECT_FOR * 2_u32.saturating_pow((record.events - 1).min(4));
-        record.until = record.until.max(now + span.min(SUSPECT_MOST));
+        record.events = record.events.saturating_add(events);
+        let doublings = record.events.saturating_sub(EVENTS_MOST).min(4);
+        let rest = (REST_FIRST * 2_u32.pow(doublings)).min(REST_MOST);
+        // What fails in the same moment is one more event, not a longer rest each.
+        record.until = if now < record.until { record.until } else { now + rest };
     }
 
     /// Takes note that a task was done on an agent's worker.
@@ -41,10 +58,14 @@
         self.workers.remove(agent);
     }
 
-    /// Returns how many events count against an agent's worker now.
+    /// Returns how far an agent's worker is trusted.
     #[must_use]
-    pub fn suspicion(&self, now: Time, agent: &str) -> u32 {
-        let record = self.workers.get(agent).filter(|record| now < record.until);
-        record.map_or(0, |record| record.events)
+    pub fn judge(&self, now: Time, agent: &str) -> Trust {
+        match self.workers.get(agent) {
+            None => Trust::Full,
+            Some(record) if record.events < EVENTS_MOST => Trust::Doubted,
+            Some(record) if now < record.until => Trust::Resting,
+            Some(_) => Trust::Probed,
+        }
     }
 }
--- a/persimmondrift/src/cell/pack.rs
+++ b/persimmondrift/src/cell/pack.rs
@@ -3,6 +3,7 @@
 //! Answers fragmentation by tasks of 1 to 8 accelerators: the worker that is left with the
 //! least takes the next task, so that whole workers, and whole racks, stay free for wide ones.
 
+use super::health::Trust;
 use super::job::{Room, Step};
 
 /// A worker that may take tasks.
@@ -18,8 +19,8 @@
     pub capacity: Room,
     /// What is free.
     pub free: Room,
-    /// Events that count against it; the ones with least are used first.
-    pub suspicion: u32,
+    /// How far it is trusted; the most trusted are used first.
+    pub trust: Trust,
 }
 
 /// How many tasks go to which slot, by its index.
@@ -60,7 +61,7 @@
             return rack(slots, &all, count, &fit);
         }
         let sound: Vec<usize> =
-            all.iter().copied().filter(|&index| slots[index].suspicion == 0).collect();
+            all.iter().copied().filter(|&index| slots[index].trust == Trust::Full).collect();
         return fill(&sound, count, &fit).or_else(|| fill(&all, count, &fit));
     }
     let mut places = Places::new();
@@ -76,9 +77,9 @@
 }
 
 /// Orders workers for a step: sound ones first, then the rack of the data, then the fullest.
-fn preference(slot: &Slot, step: &Step, room: Room) -> (u32, bool, u32, u32) {
+fn preference(slot: &Slot, step: &Step, room: Room) -> (Trust, bool, u32, u32) {
     let far = step.data_rack.as_ref().is_some_and(|rack| *rack != slot.rack);
-    (slot.suspicion, far, room.accelerators, room.millicores)
+    (slot.trust, far, room.accelerators, room.millicores)
 }
 
 /// Returns whether some rack could hold the whole gang if it were empty.
@@ -101,9 +102,9 @@
     let candidates = racks.into_iter().filter_map(|rack| {
         let members = on(rack);
         let places = fill(&members, count, fit)?;
-        let suspicion = places.iter().map(|(index, _)| slots[*index].suspicion).max();
+        let trust = places.iter().map(|(index, _)| slots[*index].trust).max();
         let room = members.iter().map(|&index| fit(index)).fold(0, u32::saturating_add);
-        Some(((suspicion, room), places))
+        Some(((trust, room), places))
     });
     candidates.min_by_key(|(cost, _)| *cost).map(|(_, places)| places)
 }
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -133,7 +133,7 @@
     Draining,
     /// It makes no progress.
     Stalled,
-    /// Its room is claimed under a guarantee.
+    /// Its room is claimed under a guarantee, or by what is more urgent.
     Reclaimed,
 }
 
@@ -159,6 +159,8 @@
     health: Health,
     /// When the members of a gang were ordered.
     ordered: HashMap<Group, Time>,
+    /// The agents on whose workers tasks of a group have failed.
+    failed_on: HashMap<Group, Vec<String>>,
     /// The newest checkpoints that agents have reported.
     checkpoints: HashMap<Task, (u32, String)>,
 }
@@ -173,6 +175,7 @@
             read: Time(0),
             health: Health::default(),
             ordered: HashMap::new(),
+            failed_on: HashMap::new(),
             checkpoints: HashMap::new(),
         }
     }
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -8,9 +8,14 @@
 use crate::cell::record::{Condition as Readiness, End, Ending, Order, Phase, State, Worker};
 use crate::cell::table::{Condition, Table};
 
-/// Time without progress after which a task is stopped. A percent of the longest task takes a
-/// fraction of a second, also on a slow worker.
-const STALL: Duration = Duration::from_millis(2_500);
+/// Least time without progress after which a task is stopped. Longer than a restart from a
+/// checkpoint and the time between two reports.
+const STALL: Duration = Duration::from_millis(1_600);
+/// Share of the estimate without progress after which a task is stopped, in percent. Progress is
+/// told in percent, and a sound task may run three times as long far from its data.
+const STALL_PERCENT: u64 = 10;
+/// Events that a stalled task counts against its worker: it can hardly be the task's own fault.
+const STALL_EVENTS: u32 = 2;
 /// Share of the wait of a gang's members after which the gang is stopped if it is incomplete.
 const GANG_WAIT_PERCENT: u32 = 60;
 /// Time that a draining worker must have left beyond a task's expected end.
@@ -89,7 +94,13 @@
         for end in ends {
             match end.ending {
                 Ending::Done => self.health.trust(agent),
-                Ending::Failed => self.health.suspect(draft.input.now, agent),
+                Ending::Failed => {
+                    self.health.suspect(draft.input.now, agent, 1);
+                    let failed = self.failed_on.entry(*group).or_default();
+                    if !failed.contains(agent) {
+                        failed.push(agent.clone());
+                    }
+                }
                 _ => {}
             }
             self.checkpoints.remove(&end.task);
@@ -117,13 +128,16 @@
                 stop_group(draft, *group, cause);
                 continue;
             }
-            for (task, cause) in self.causes(draft, &key) {
+            for (task, cause) in Self::causes(draft, &key) {
                 if cause == Cause::Stalled {
-                    self.health.suspect(draft.input.now, agent);
+                    // The members of a gang stand still together, whichever worker is at fault.
+                    let events = if is_gang(draft, *group) { 1 } else { STALL_EVENTS };
+                    self.health.suspect(draft.input.now, agent, events);
                 }
                 stop(draft, task, cause);
             }
         }
+        self.failed_on.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
         self.ordered.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
     }
 
@@ -167,7 +181,7 @@
     }
 
     /// Returns which runs of an order are to be stopped for the sake of their worker.
-    fn causes(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<(Task, Cause)> {
+    fn causes(draft: &Draft<'_>, key: &OrderKey) -> Vec<(Task, Cause)> {
         let (agent, group) = key;
         let Some(worker) = draft.input.workers.get(agent) else {
             return Vec::new();
@@ -177,7 +191,8 @@
         let Some(step) = step else {
             return Vec::new();
         };
-        let stall_ms = u32::try_from(STALL.as_millis()).unwrap_or(u32::MAX);
+        let least = u64::try_from(STALL.as_millis()).unwrap_or(u64::MAX);
+        let stall_ms = least.max(u64::from(step.estimate_ms) * STALL_PERCENT / 100);
         let cause = |index: u16, run: u32| {
             let task = group.task(index);
             let running = worker.running.iter().find(|own| own.task == task && own.run == run);
@@ -188,7 +203,7 @@
                 let left = u64::from(worker.remaining_ms.saturating_sub(DRAIN_SLACK_MS));
                 return (step.lasting || rest > left).then_some(Cause::Draining);
             }
-            let still = running.is_some_and(|running| running.still_ms >= stall_ms);
+            let still = running.is_some_and(|running| u64::from(running.still_ms) >= stall_ms);
             (still && percent < 100 && !step.lasting).then_some(Cause::Stalled)
         };
         let tasks = draft.orders[key].tasks.iter().filter(|task| !task.stop);
@@ -259,13 +274,17 @@
     worker.ends.iter().filter(ordered).cloned().collect()
 }
 
+/// Returns whether the tasks of a group only work together.
+fn is_gang(draft: &Draft<'_>, group: Group) -> bool {
+    request_of(draft.input.jobs, group.job)
+        .and_then(|(_, request)| request.steps.get(usize::from(group.step)))
+        .is_some_and(|step| step.gang)
+}
+
 /// Marks a run to be stopped, and with it the whole gang that it belongs to.
 pub(super) fn stop(draft: &mut Draft<'_>, task: Task, cause: Cause) {
     let group = task.group();
-    let gang = request_of(draft.input.jobs, group.job)
-        .and_then(|(_, request)| request.steps.get(usize::from(group.step)))
-        .is_some_and(|step| step.gang);
-    if gang {
+    if is_gang(draft, group) {
         stop_group(draft, group, cause);
         return;
     }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -6,14 +6,20 @@
 use super::fold::stop;
 use super::{Cause, Note, Planner, queue_of, request_of};
 use crate::cell::access::Queue;
+use crate::cell::health::Trust;
 use crate::cell::job::{Group, Id, Request, Room, Step};
 use crate::cell::pack::{self, Demand, Places, Slot};
-use crate::cell::rank::{self, Claim};
+use crate::cell::rank::{Claim, Prospect};
 use crate::cell::reclaim::{self, Victim};
 use crate::cell::record::{Condition as Readiness, Order, OrderTask, Phase, State, Worker};
 
 /// Processor cores that an accelerator weighs when lost work is compared.
 const ACCELERATOR_CORES: u64 = 8;
+/// Slack of a job below which it may take room from less urgent ones, in milliseconds: a stop, the
+/// ways across regions, and the declared times that are off.
+const URGENT_SLACK_MS: i64 = 2_500;
+/// Most work that may be lost for a group, as a share of its own work in percent.
+const LOSS_PERCENT: u64 = 60;
 /// Loss of a task that goes on from its checkpoint, in core-milliseconds: its restart.
 const RESUME_LOSS: u64 = 1_000;
 
@@ -63,7 +69,13 @@
         };
         let count = u32::try_from(waits(draft)).unwrap_or(u32::MAX);
         let taken = taken(draft, pool, group);
-        let room: Vec<Room> = pool.slots.iter().map(|slot| slot.free).collect();
+        let barred = self.barred(pool, group);
+        let room: Vec<Room> = pool
+            .slots
+            .iter()
+            .zip(&barred)
+            .map(|(slot, barred)| if *barred { Room::default() } else { slot.free })
+            .collect();
         let demand = Demand { step, count };
         let places = pack::place(&pool.slots, demand, |i| room[i], |i| taken[i]);
         if let Some(places) = places {
@@ -77,11 +89,25 @@
             self.order(draft, pool, waiting, &places);
         }
         let left = u32::try_from(waits(draft)).unwrap_or(u32::MAX);
-        if left > 0 && waiting.claim.guaranteed {
-            reclaim(draft, pool, waiting, left, guaranteed);
+        if left > 0 && may_reclaim(&waiting.claim) {
+            reclaim(draft, pool, waiting, left, guaranteed, &barred);
         }
     }
 
+    /// Returns which workers a group is not placed on: those that get nothing now, and those
+    /// that it failed on. When that leaves none, none is barred.
+    fn barred(&self, pool: &Pool, group: Group) -> Vec<bool> {
+        let failed = self.failed_on.get(&group);
+        let barred = |slot: &Slot| {
+            let here = failed.is_some_and(|agents| agents.contains(&slot.agent));
+            // A worker that is probed gets its one task while it has nothing else.
+            let probing = slot.trust == Trust::Probed && slot.free != slot.capacity;
+            here || probing || slot.trust == Trust::Resting
+        };
+        let barred: Vec<bool> = pool.slots.iter().map(barred).collect();
+        if barred.iter().all(|barred| *barred) { vec![false; barred.len()] } else { barred }
+    }
+
     /// Writes the orders of placed tasks.
     fn order(
         &mut self,
@@ -162,7 +188,7 @@
                 labels: worker.labels.clone(),
                 capacity: worker.capacity,
                 free: worker.capacity - used,
-                suspicion: self.health.suspicion(input.now, agent),
+                trust: self.health.judge(input.now, agent),
             });
         }
         pool
@@ -183,18 +209,13 @@
         {
             continue;
         }
-        let begun = progress.state == State::Running;
+        let covered = guaranteed.get(&id).copied().unwrap_or(false);
+        let claim = Claim::new(queue, request, progress, job.accepted_ms, input.wall_ms, covered);
         for group in progress.startable(id, request, input.wall_ms) {
-            let claim = Claim {
-                guaranteed: guaranteed.get(&id).copied().unwrap_or(false),
-                priority: queue.priority,
-                begun,
-                accepted_ms: job.accepted_ms,
-            };
             all.push(Waiting { group, request, queue, claim });
         }
     }
-    all.sort_by_key(|waiting| (rank::key(waiting.claim), waiting.group));
+    all.sort_by_key(|waiting| (waiting.claim.key(), waiting.group));
     all
 }
 
@@ -277,6 +298,12 @@
     draft.add_order(key, Order { epoch: input.epoch, life, need, spec, tasks });
 }
 
+/// Returns whether a group may take room from others: under a guarantee, or because it would
+/// miss its objective if it waited for a stop any longer.
+fn may_reclaim(claim: &Claim) -> bool {
+    claim.guaranteed || (claim.prospect == Prospect::InTime && claim.slack_ms < URGENT_SLACK_MS)
+}
+
 /// Stops what has less of a claim, and keeps the room until the group can be placed.
 fn reclaim(
     draft: &mut Draft<'_>,
@@ -284,15 +311,13 @@
     waiting: &Waiting<'_>,
     count: u32,
     guaranteed: &HashMap<Id, bool>,
+    barred: &[bool],
 ) {
     let step = &waiting.request.steps[usize::from(waiting.group.step)];
     let demand = Demand { step, count };
     let taken = taken(draft, pool, waiting.group);
-    let coming: Vec<Room> = pool
-        .slots
-        .iter()
-        .zip(&pool.stopping)
-        .map(|(slot, stopping)| slot.free + *stopping)
+    let coming: Vec<Room> = (0..pool.slots.len())
+        .map(|i| if barred[i] { Room::default() } else { pool.slots[i].free + pool.stopping[i] })
         .collect();
     let all_placed = |places: &Places| places.iter().map(|(_, count)| count).sum::<u32>() == count;
     let places = pack::place(&pool.slots, demand, |i| coming[i], |i| taken[i]);
@@ -300,12 +325,18 @@
         keep(pool, step, &places);
         return;
     }
-    let candidates: Vec<Vec<Victim>> =
-        pool.slots.iter().map(|slot| candidates(draft, &slot.agent, waiting, guaranteed)).collect();
-    let could = |i: usize| candidates[i].iter().fold(coming[i], |room, victim| room + victim.room);
-    let Some(places) = pack::place(&pool.slots, demand, could, |i| taken[i]) else {
+    let candidates: Vec<Vec<Victim>> = (0..pool.slots.len())
+        .map(|i| {
+            let all = candidates(draft, &pool.slots[i].agent, waiting, guaranteed);
+            if barred[i] { Vec::new() } else { all }
+        })
+        .collect();
+    let Some((loss, places)) = cheapest(pool, demand, &taken, &coming, &candidates) else {
         return;
     };
+    if !waiting.claim.guaranteed && loss > own_work(step, count) * LOSS_PERCENT / 100 {
+        return;
+    }
     for &(index, count) in &places {
         let need = step.claim().times(count);
         let chosen = reclaim::victims(coming[index], need, &candidates[index]);
@@ -320,6 +351,60 @@
     keep(pool, step, &places);
 }
 
+/// Returns the places for which least work is lost, and that loss. A gang that wants one rack is
+/// tried on each rack by itself.
+fn cheapest(
+    pool: &Pool,
+    demand: Demand<'_>,
+    taken: &[u32],
+    coming: &[Room],
+    candidates: &[Vec<Victim>],
+) -> Option<(u64, Places)> {
+    let need = demand.step.claim();
+    let could = |i: usize| candidates[i].iter().fold(coming[i], |room, victim| room + victim.room);
+    let loss = |index: usize, count: u32| {
+        let chosen = reclaim::victims(coming[index], need.times(count), &candidates[index]);
+        chosen.map(|victims| victims.iter().map(|victim| victim.loss).sum::<u64>())
+    };
+    let total = |places: &Places| -> Option<u64> {
+        places.iter().map(|&(index, count)| loss(index, count)).sum()
+    };
+    let mut racks: Vec<&str> = pool.slots.iter().map(|slot| &*slot.rack).collect();
+    racks.sort_unstable();
+    racks.dedup();
+    let on_rack =
+        racks.iter().filter(|_| demand.step.gang && demand.step.one_rack).filter_map(|rack| {
+            let room =
+                |i: usize| if pool.slots[i].rack == *rack { could(i) } else { Room::default() };
+            pack::place(&pool.slots, demand, room, |i| taken[i])
+        });
+    // Elsewhere, the workers where one task costs least come first.
+    let mut order: Vec<(u64, usize)> =
+        (0..pool.slots.len()).filter_map(|i| Some((loss(i, 1)?, i))).collect();
+    order.sort_unstable();
+    let limits = (1..=order.len()).map(|most| {
+        let among = &order[..most];
+        let room = |i: usize| {
+            if among.iter().any(|(_, index)| *index == i) { could(i) } else { Room::default() }
+        };
+        pack::place(&pool.slots, demand, room, |i| taken[i])
+    });
+    let whole =
+        |places: &Places| places.iter().map(|(_, count)| count).sum::<u32>() == demand.count;
+    let fitting = on_rack.chain(limits.flatten()).filter(whole);
+    let best = fitting.filter_map(|places| Some((total(&places)?, places))).min_by_key(|(l, _)| *l);
+    // Tasks that need no others are placed as far as they fit.
+    best.or_else(|| {
+        let places = pack::place(&pool.slots, demand, could, |i| taken[i])?;
+        Some((total(&places)?, places))
+    })
+}
+
+/// Returns the core-milliseconds of the tasks of a step.
+fn own_work(step: &Step, count: u32) -> u64 {
+    cores(step) * u64::from(step.estimate_ms) * u64::from(count)
+}
+
 /// Keeps room that is free, or about to be, from all that ranks lower.
 fn keep(pool: &mut Pool, step: &Step, places: &Places) {
     for &(index, count) in places {
@@ -347,7 +432,13 @@
             continue;
         };
         let covered = guaranteed.get(&group.job).copied().unwrap_or(false);
-        let lower = queue_of(input.config, job).priority >= waiting.queue.priority && !covered;
+        let priority = queue_of(input.config, job).priority;
+        let lower = !covered
+            && if waiting.claim.guaranteed {
+                priority >= waiting.queue.priority
+            } else {
+                priority > waiting.queue.priority
+            };
         let step = request.steps.get(usize::from(group.step));
         let (true, true, Some(step)) = (own == agent, lower, step) else {
             continue;
@@ -363,11 +454,15 @@
     victims
 }
 
+/// Returns the cores of a task of a step, its accelerators among them.
+fn cores(step: &Step) -> u64 {
+    u64::from(step.need.millicores) / 1_000 + u64::from(step.need.accelerators) * ACCELERATOR_CORES
+}
+
 /// Returns the core-milliseconds that are lost if a task of a step is stopped; for a gang those
 /// of all members.
 fn loss(step: &Step, percent: u64) -> u64 {
-    let cores = u64::from(step.need.millicores) / 1_000
-        + u64::from(step.need.accelerators) * ACCELERATOR_CORES;
+    let cores = cores(step);
     let members = if step.gang { u64::from(step.width) } else { 1 };
     if step.checkpoints {
         return RESUME_LOSS * members;
--- a/persimmondrift/src/cell/rank.rs
+++ b/persimmondrift/src/cell/rank.rs
@@ -1,10 +1,32 @@
 //! The order in which waiting groups get room.
 //!
-//! Answers bursts on workers that are already two thirds full: what is guaranteed comes first,
-//! then the priority of the queue, then what has waited longest.
+//! Answers bursts of twice the load on workers that are already two thirds full. What is
+//! guaranteed comes first. Then, what can still meet its objective comes before what cannot, by
+//! priority, and among equals what has the least time to spare; what is late beyond use is last.
 
 use std::cmp::Reverse;
 
+use super::access::Queue;
+use super::job::Request;
+use super::record::Progress;
+
+/// Time that passes between the last end and its display, in milliseconds: two ways across
+/// regions, and two transactions.
+const DISPLAY_MS: i64 = 250;
+/// How often the objective a job is worth something, if late.
+const LATE_FACTOR: i64 = 3;
+
+/// What a job has left of its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Prospect {
+    /// It meets the objective if it starts within its slack.
+    InTime,
+    /// It misses the objective, and is still worth something.
+    Late,
+    /// It comes too late to be of use.
+    Useless,
+}
+
 /// What decides where a group stands in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Claim {
@@ -12,14 +34,67 @@
     pub guaranteed: bool,
     /// Priority of its queue; 0 comes first.
     pub priority: u32,
-    /// Whether the job has begun: a later step frees no room by waiting.
-    pub begun: bool,
     /// When the job was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// What the job has left of its objective.
+    pub prospect: Prospect,
+    /// How much later than now it may start and meet its objective, in milliseconds.
+    pub slack_ms: i64,
+}
+
+impl Claim {
+    /// Creates the claim of a job.
+    #[must_use]
+    pub fn new(
+        queue: &Queue,
+        request: &Request,
+        progress: &Progress,
+        accepted_ms: u64,
+        wall_ms: u64,
+        guaranteed: bool,
+    ) -> Self {
+        let whole = i64::from(chain_ms(request, None));
+        let rest = i64::from(chain_ms(request, Some(progress)));
+        let latency = i64::try_from(queue.latency_ms).unwrap_or(i64::MAX / 8);
+        let objective = whole * i64::from(queue.stretch_permille) / 1_000 + latency;
+        let age = i64::try_from(wall_ms.saturating_sub(accepted_ms)).unwrap_or(i64::MAX / 8);
+        let slack_ms = objective - age - rest - DISPLAY_MS;
+        let prospect = if request.schedule.is_some() || request.lasts() || slack_ms >= 0 {
+            Prospect::InTime
+        } else if LATE_FACTOR * objective - age - rest - DISPLAY_MS >= 0 {
+            Prospect::Late
+        } else {
+            Prospect::Useless
+        };
+        Self { guaranteed, priority: queue.priority, accepted_ms, prospect, slack_ms }
+    }
+
+    /// Returns the sort key of the claim: the least comes first.
+    #[must_use]
+    pub fn key(self) -> (Reverse<bool>, u32, i64, u64) {
+        // A late job of one priority stands between the timely ones of the next two.
+        let grade = match self.prospect {
+            Prospect::InTime => 2 * self.priority,
+            Prospect::Late => 2 * self.priority + 3,
+            Prospect::Useless => u32::MAX,
+        };
+        let slack = if self.prospect == Prospect::InTime { self.slack_ms } else { 0 };
+        (Reverse(self.guaranteed), grade, slack, self.accepted_ms)
+    }
 }
 
-/// Returns the sort key of a claim: the least comes first.
-#[must_use]
-pub fn key(claim: Claim) -> (Reverse<bool>, u32, Reverse<bool>, u64) {
-    (Reverse(claim.guaranteed), claim.priority, Reverse(claim.begun), claim.accepted_ms)
+/// Returns the length of the longest chain of steps by their estimates, in milliseconds; of those
+/// that are not done if the progress is given.
+fn chain_ms(request: &Request, progress: Option<&Progress>) -> u32 {
+    let mut ends: Vec<u32> = Vec::with_capacity(request.steps.len());
+    for (number, step) in (0_u16..).zip(&request.steps) {
+        let begin = step.after.iter().filter_map(|&before| ends.get(usize::from(before))).max();
+        let done = progress.is_some_and(|progress| {
+            let group = super::job::Group { job: super::job::Id(0), occurrence: 0, step: number };
+            progress.step_done(request, group)
+        });
+        let own = if done { 0 } else { step.estimate_ms };
+        ends.push(begin.copied().unwrap_or(0).saturating_add(own));
+    }
+    ends.into_iter().max().unwrap_or(0)
 }
