--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -116,6 +116,8 @@
     orders: Mirror<Order>,
     /// Runs that an earlier process may have started; nothing before the first look at the orders.
     inherited: Option<BTreeSet<(Task, u32)>>,
+    /// The checkpoints that an earlier process reported.
+    saved: BTreeMap<(Task, u32), String>,
     /// When the last worker that has left had started, in milliseconds since 1970.
     departed_ms: u64,
     runs: BTreeMap<(Task, u32), Run>,
@@ -137,6 +139,8 @@
     /// Creates the state of an agent that starts, with the last report that the store has.
     #[must_use]
     pub fn new(agent: &str, last: Option<&Worker>) -> Self {
+        let running = last.map_or(&[][..], |last| &last.running);
+        let saved = running.iter().map(|run| ((run.task, run.run), run.checkpoint.clone()));
         Self {
             agent: agent.to_owned(),
             announced: None,
@@ -144,6 +148,7 @@
             life: last.map(|last| last.life.clone()).unwrap_or_default(),
             orders: Mirror::default(),
             inherited: None,
+            saved: saved.collect(),
             departed_ms: 0,
             runs: BTreeMap::new(),
             ends: last.map(|last| last.ends.clone()).unwrap_or_default(),
@@ -431,12 +436,17 @@
         Some(deadline)
     }
 
-    /// Begins a new life of the worker, in which nothing runs yet.
+    /// Begins a new life of the worker, in which nothing runs yet. What ran before goes on
+    /// elsewhere from its newest checkpoint.
     fn reset(&mut self, life: Life) {
+        for ((task, run), own) in std::mem::take(&mut self.runs) {
+            if own.is_begun() && !own.is_stray() {
+                self.end(task, run, &own, Ending::Lapsed, "");
+            }
+        }
         self.life = life;
         self.announced = None;
         self.drained_by = None;
-        self.runs.clear();
         self.clock = None;
         self.looked = None;
         self.lease_until = Time(0);
@@ -460,7 +470,9 @@
                 continue;
             }
             let begun = inherited.is_some_and(|keys| keys.contains(key));
-            let run = self.runs.entry(*key).or_insert_with(|| Run::wanted(order, task, begun));
+            let saved = self.saved.get(key);
+            let run =
+                self.runs.entry(*key).or_insert_with(|| Run::wanted(order, task, begun, saved));
             run.adopt(order, task);
         }
         for (key, run) in &mut self.runs {
--- a/persimmondrift/src/cell/duty/run.rs
+++ b/persimmondrift/src/cell/duty/run.rs
@@ -41,8 +41,9 @@
 }
 
 impl Run {
-    /// Creates a run that an order asks for, and that an earlier process may have begun.
-    pub fn wanted(order: &Order, task: &OrderTask, begun: bool) -> Self {
+    /// Creates a run that an order asks for, and that an earlier process may have begun and may
+    /// have reported with a checkpoint.
+    pub fn wanted(order: &Order, task: &OrderTask, begun: bool, saved: Option<&String>) -> Self {
         Self {
             need: order.need,
             spec: order.spec.clone(),
@@ -56,7 +57,7 @@
             not_before: Time(0),
             refusals: 0,
             percent: 0,
-            saved: String::new(),
+            saved: saved.cloned().unwrap_or_default(),
             rose: Time(0),
         }
     }
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -158,7 +158,8 @@
             return None;
         }
         let tasks = progress.group(request, group);
-        if tasks.iter().any(|task| task.phase != Phase::Ordered) {
+        // Members end well together, so those that have not been listed yet are let be.
+        if tasks.iter().any(|task| task.phase == Phase::Waiting) {
             return Some(Cause::GangBroken);
         }
         let wait = self.settings.gang_wait * GANG_WAIT_PERCENT / 100;
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -20,8 +20,8 @@
 const URGENT_SLACK_MS: i64 = 2_500;
 /// Most work that may be lost for a group, as a share of its own work in percent.
 const LOSS_PERCENT: u64 = 60;
-/// Loss of a task that goes on from its checkpoint, in core-milliseconds: its restart.
-const RESUME_LOSS: u64 = 1_000;
+/// Time that a task loses when it goes on from its checkpoint, in milliseconds: its restart.
+const RESUME_MS: u64 = 800;
 
 /// A group that waits for room.
 struct Waiting<'a> {
@@ -465,7 +465,7 @@
     let cores = cores(step);
     let members = if step.gang { u64::from(step.width) } else { 1 };
     if step.checkpoints {
-        return RESUME_LOSS * members;
+        return cores * RESUME_MS * members;
     }
     cores * u64::from(step.estimate_ms) * percent / 100 * members
 }
