--- a/persimmondrift/src/cell.rs
+++ b/persimmondrift/src/cell.rs
@@ -23,6 +23,7 @@
 
 pub mod duty;
 pub mod grant;
+pub mod report;
 
 pub mod agent;
 pub mod clock;
--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -9,18 +9,19 @@
 use super::grant;
 use super::job::Task;
 use super::record::{self, Life, ROLE_KEY, Role, Worker};
-use super::table::{Batch, CALL_TIMEOUT, Calls, Condition, Error, Outcome, Table, Write};
+use super::report::{Answer, Reporter};
+use super::table::{CALL_TIMEOUT, Calls, Error, Table};
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
 /// Time between two reports of an agent that has no news.
 pub const REPORT_EVERY: Duration = Duration::from_millis(800);
 /// Longest wait for changed orders in one call.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait for an end in one look at a worker that runs something.
 const LOOK_BUSY: Duration = Duration::from_millis(500);
 /// Longest wait for an end in one look at an idle worker.
-const LOOK_IDLE: Duration = Duration::from_millis(1_000);
+const LOOK_IDLE: Duration = Duration::from_secs(1);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause of a thread that calls the worker.
@@ -223,12 +224,10 @@
 /// Writes reports. The first one comes after the last process's report and orders were read.
 fn report_loop(shared: &Shared) {
     let boot = fastrand::u64(1..);
-    let Some(mut version) = recover(shared) else {
+    let Some(version) = recover(shared) else {
         return;
     };
-    let mut sequence = 0;
-    // Orders have to be read again before new work, after the planner gave the agent up.
-    let mut reread = false;
+    let mut reporter = Reporter::new(&shared.identity.agent, boot, version);
     let mut last = Time(0);
     loop {
         let mut state = shared.lock();
@@ -243,47 +242,38 @@
             return;
         }
         state.urgent = false;
-        sequence += 1;
         let sent = clock::now();
         let listed = state.duty.listed();
         let worker = Worker {
             peer: shared.identity.peer.clone(),
             zone: shared.identity.zone.clone(),
-            boot,
-            sequence,
             ..state.duty.report(sent)
         };
         drop(state);
         last = sent;
-        match commit(shared, &worker, version) {
-            Ok(Outcome::Applied(applied)) => {
-                version = applied;
-                if reread && shared.scan_orders().is_err() {
-                    shared.lock().urgent = true;
-                    thread::sleep(RETRY_PAUSE);
-                    continue;
-                }
-                reread = false;
-                let span = grant::span(shared.identity.longest_lease);
-                shared.lock().duty.reported(sent, span, listed);
-                shared.changed.notify_all();
-            }
-            Ok(Outcome::Refused(rows)) => {
-                let row = rows.iter().find(|row| row.key == shared.identity.agent);
-                let found: Option<Worker> =
-                    row.and_then(|row| record::decode(row.value.as_deref()?));
-                version = found.as_ref().and(row).map_or(Version(0), |row| row.version);
-                let own = found.as_ref().is_some_and(|found| found.boot == boot && !found.revoked);
-                if !own {
-                    warn!(GivenUp, "version={version} removed={}", found.is_none());
-                    reread = true;
-                }
+        let outcome = (shared.store.commit)(&reporter.batch(worker), CALL_TIMEOUT);
+        let granted = match outcome.as_ref().map(|outcome| reporter.answered(outcome)) {
+            Ok(Answer::Granted) => true,
+            Ok(Answer::Reread) => shared.scan_orders().is_ok(),
+            Ok(Answer::GivenUp) => {
+                warn!(GivenUp, "version={}", reporter.version());
                 shared.lock().urgent = true;
+                continue;
             }
-            Err(_) => {
+            Ok(Answer::Again) => {
                 shared.lock().urgent = true;
-                thread::sleep(RETRY_PAUSE);
+                continue;
             }
+            Err(_) => false,
+        };
+        if granted {
+            reporter.reread();
+            let span = grant::span(shared.identity.longest_lease);
+            shared.lock().duty.reported(sent, span, listed);
+            shared.changed.notify_all();
+        } else {
+            shared.lock().urgent = true;
+            thread::sleep(RETRY_PAUSE);
         }
     }
 }
@@ -318,15 +308,6 @@
     None
 }
 
-fn commit(shared: &Shared, worker: &Worker, version: Version) -> Result<Outcome, Error> {
-    let key = shared.identity.agent.clone();
-    let batch = Batch {
-        conditions: vec![Condition { table: Table::Workers, key: key.clone(), version }],
-        writes: vec![Write { table: Table::Workers, key, value: Some(record::encode(worker)) }],
-    };
-    (shared.store.commit)(&batch, CALL_TIMEOUT)
-}
-
 /// Follows the orders.
 fn order_loop(shared: &Shared) {
     let mut version = None;
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -21,7 +21,7 @@
 /// Time without an answer of the worker after which it gets no new work.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// Time without an answer after which leases are not extended any more, so that they lapse.
-const EXTEND_FOR: Duration = Duration::from_millis(1_000);
+const EXTEND_FOR: Duration = Duration::from_secs(1);
 /// Ends that a worker lists at most in one answer.
 const LISTED_MOST: usize = 500;
 
@@ -337,7 +337,7 @@
     pub fn next(&mut self, now: Time) -> Option<Action> {
         let deadline = self.deadline(now);
         let draining = self.announced.as_ref().is_some_and(|worker| worker.draining);
-        let strays = self.runs.values().any(|run| run.is_stray());
+        let strays = self.runs.values().any(Run::is_stray);
         let capacity = self.announced.as_ref().map(|worker| worker.capacity)?;
         let begun = self.runs.values().filter(|run| run.is_begun());
         let used = begun.fold(Room::default(), |used, run| used + run.need);
--- a/persimmondrift/src/cell/duty/run.rs
+++ b/persimmondrift/src/cell/duty/run.rs
@@ -13,6 +13,10 @@
 const REFUSALS_MOST: u32 = 3;
 
 /// One run of a task at a worker.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "a start, a stop and a list may come in any order"
+)]
 #[derive(Debug, Clone)]
 pub struct Run {
     /// What it holds.
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -1,7 +1,7 @@
 //! The planner's thread: takes the role, plans rounds, and writes them.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -9,9 +9,9 @@
 use crate::cell::agent::STACK_BYTES;
 use crate::cell::mirror::Mirror;
 use crate::cell::planner::{Input, Note, Plan, Planner};
-use crate::cell::record::{self, Order, ROLE_KEY, Role, Worker};
-use crate::cell::role::RENEWAL;
-use crate::cell::table::{Batch, CALL_TIMEOUT, Condition, Error, Outcome, Row, Table, Write};
+use crate::cell::record::{Order, Worker};
+use crate::cell::role::{RENEWAL, Settled, Term};
+use crate::cell::table::{CALL_TIMEOUT, Error, Row, Table};
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
@@ -27,12 +27,18 @@
 /// What the planner of a term knows beside the jobs.
 struct Cell {
     orders: Mirror<Order>,
-    workers: std::sync::Mutex<Mirror<Worker>>,
+    workers: Mutex<Mirror<Worker>>,
     /// When the last successful read of the reports came back.
     read: AtomicU64,
     over: AtomicBool,
 }
 
+impl Cell {
+    fn lock(&self) -> MutexGuard<'_, Mirror<Worker>> {
+        self.workers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Runs until the process stops.
 pub fn run(shared: &Arc<Shared>) {
     while !shared.stopping() {
@@ -45,9 +51,14 @@
                 && state.succession.may_take(clock::now(), held, shared.distance());
             (may, version, role.epoch.next())
         };
-        if may && let Some(role) = take(shared, version, epoch) {
-            log!(RoleTaken, "holder={} epoch={epoch} version={role}", shared.settings.name);
-            lead(shared, role, epoch);
+        if may && let Some(term) = take(shared, version, epoch) {
+            log!(
+                RoleTaken,
+                "holder={} epoch={epoch} version={}",
+                shared.settings.name,
+                term.version
+            );
+            lead(shared, term);
             log!(RoleLost, "holder={} epoch={epoch}", shared.settings.name);
         }
         thread::sleep(LOOK_EVERY);
@@ -58,18 +69,16 @@
     }
 }
 
-/// Tries to take the role. Returns the version of its row.
-fn take(shared: &Shared, version: Version, epoch: Epoch) -> Option<Version> {
-    let mut term = Term { shared, version, epoch, tag: 0 };
-    match term.write(&shared.settings.name, Plan::default()) {
-        Ok(_) => Some(term.version),
-        Err(_) => None,
-    }
+/// Tries to take the role.
+fn take(shared: &Shared, version: Version, epoch: Epoch) -> Option<Term> {
+    let mut term = Term::new(version, epoch);
+    write(shared, &mut term, &shared.settings.name, Plan::default()).ok()?;
+    Some(term)
 }
 
 /// Plans until the role is lost or the process stops.
-fn lead(shared: &Arc<Shared>, version: Version, epoch: Epoch) {
-    let mut term = Term { shared, version, epoch, tag: 1 };
+fn lead(shared: &Arc<Shared>, mut term: Term) {
+    let epoch = term.epoch;
     // Nobody else can write orders and progress now, so what is read now stays true.
     let Some(cell) = load(shared, &mut term) else {
         return;
@@ -97,7 +106,7 @@
         let Some(config) = state.access.config().cloned() else {
             continue;
         };
-        let workers = cell.workers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let workers = cell.lock();
         let plan = planner.plan(Input {
             now: clock::now(),
             wall_ms: clock::wall_ms(),
@@ -114,47 +123,42 @@
             continue;
         }
         let sent = clock::now();
-        match term.write(&shared.settings.name, plan) {
-            Ok(Some((rows, notes))) => {
+        let notes = plan.notes.clone();
+        match write(shared, &mut term, &shared.settings.name, plan) {
+            Ok(rows) => {
                 renewed = sent;
                 for note in &notes {
                     tell(note, epoch);
                 }
-                for row in rows.iter().filter(|row| row.table == Table::Orders) {
-                    orders.apply(row);
-                }
-                {
-                    let mut workers =
-                        cell.workers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-                    for row in rows.iter().filter(|row| row.table == Table::Workers) {
-                        workers.apply(row);
-                    }
+                let mut workers = cell.lock();
+                for row in &rows {
+                    match row.table {
+                        Table::Orders => orders.apply(row),
+                        Table::Workers => workers.apply(row),
+                        _ => false,
+                    };
                 }
+                drop(workers);
                 orders.prune(term.version);
-                shared.apply(&rows);
-                if !rows.is_empty() {
-                    // What was left out of a full batch goes on at once.
-                    shared.lock().changes += 1;
-                }
             }
-            Ok(None) => thread::sleep(CONFLICT_PAUSE),
-            Err(Lost) => break,
+            Err(Unwritten::Conflict) => thread::sleep(CONFLICT_PAUSE),
+            Err(Unwritten::Lost) => break,
         }
     }
     cell.over.store(true, Ordering::Relaxed);
     if shared.stopping() {
         // Another entry may take over at once.
-        let _ = term.write("", Plan::default());
+        let _ = write(shared, &mut term, "", Plan::default());
     }
 }
 
 /// Reads orders, reports and jobs as they are under this term.
-fn load(shared: &Shared, term: &mut Term<'_>) -> Option<Cell> {
+fn load(shared: &Shared, term: &mut Term) -> Option<Cell> {
     while !shared.stopping() {
         let read = || -> Result<Cell, Error> {
             let mut cell = Cell {
                 orders: Mirror::default(),
-                workers: std::sync::Mutex::default(),
+                workers: Mutex::default(),
                 read: AtomicU64::new(clock::now().0),
                 over: AtomicBool::new(false),
             };
@@ -166,10 +170,7 @@
             return Some(cell);
         }
         thread::sleep(RETRY_PAUSE);
-        match term.write(&shared.settings.name, Plan::default()) {
-            Ok(_) => {}
-            Err(Lost) => return None,
-        }
+        write(shared, term, &shared.settings.name, Plan::default()).ok()?;
     }
     None
 }
@@ -186,8 +187,7 @@
             // Agents report all the time, so a watch without news may have missed some.
             Ok(snapshot) if version.is_some() && snapshot.rows.is_empty() => version = None,
             Ok(snapshot) => {
-                let mut workers =
-                    cell.workers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                let mut workers = cell.lock();
                 if let Some(after) = version {
                     for row in &snapshot.rows {
                         workers.apply(row);
@@ -208,67 +208,40 @@
     }
 }
 
-/// The role is held by another entry.
-#[derive(Debug)]
-struct Lost;
-
-/// One holding of the role.
-struct Term<'a> {
-    shared: &'a Shared,
-    /// The version of the role row.
-    version: Version,
-    epoch: Epoch,
-    tag: u64,
+/// Why a round is not written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unwritten {
+    /// A report is newer than the round; the next round sees it.
+    Conflict,
+    /// The role is held by another entry, or was given back.
+    Lost,
 }
 
-impl Term<'_> {
-    /// Writes a plan together with the role row, and finds out what became of it. Returns the
-    /// written rows and the notes; nothing if a condition other than the role failed.
-    fn write(&mut self, holder: &str, plan: Plan) -> Result<Option<(Vec<Row>, Vec<Note>)>, Lost> {
-        self.tag = fastrand::u64(..);
-        let role = Role { holder: holder.to_owned(), epoch: self.epoch, tag: self.tag };
-        let Plan { mut conditions, mut writes, notes } = plan;
-        let key = ROLE_KEY.to_owned();
-        conditions.push(Condition { table: Table::Jobs, key: key.clone(), version: self.version });
-        writes.push(Write { table: Table::Jobs, key, value: Some(record::encode(&role)) });
-        let batch = Batch { conditions, writes };
-        loop {
-            match (self.shared.store.commit)(&batch, CALL_TIMEOUT) {
-                Ok(Outcome::Applied(version)) => {
-                    return Ok(Some(self.applied(batch, version, notes)));
-                }
-                Ok(Outcome::Refused(rows)) => {
-                    let row = rows.iter().find(|row| row.key == ROLE_KEY);
-                    let version = row.map_or(Version(0), |row| row.version);
-                    let found: Option<Role> =
-                        row.and_then(|row| record::decode(row.value.as_deref()?));
-                    if found.is_some_and(|found| found.tag == self.tag) {
-                        // An earlier send was applied, and its answer lost.
-                        return Ok(Some(self.applied(batch, version, notes)));
+/// Writes a round, and returns its rows. The same batch is sent until its fate is known.
+fn write(
+    shared: &Shared,
+    term: &mut Term,
+    holder: &str,
+    plan: Plan,
+) -> Result<Vec<Row>, Unwritten> {
+    let batch = term.seal(holder, fastrand::u64(1..), plan.conditions, plan.writes);
+    loop {
+        match (shared.store.commit)(&batch, CALL_TIMEOUT) {
+            Ok(outcome) => {
+                return match term.settle(batch, &outcome) {
+                    Settled::Applied(rows) => {
+                        shared.apply(&rows);
+                        Ok(rows)
                     }
-                    return if version == self.version { Ok(None) } else { Err(Lost) };
-                }
-                // The same batch is sent until its fate is known: it can take effect only once.
-                Err(_) if holder.is_empty() => return Err(Lost),
-                Err(_) => thread::sleep(RETRY_PAUSE),
+                    Settled::Conflict => Err(Unwritten::Conflict),
+                    Settled::Lost => Err(Unwritten::Lost),
+                };
             }
+            // Nobody waits for a role that is given back.
+            Err(_) if holder.is_empty() => return Err(Unwritten::Lost),
+            Err(_) => thread::sleep(RETRY_PAUSE),
         }
     }
-
-    fn applied(
-        &mut self,
-        batch: Batch,
-        version: Version,
-        notes: Vec<Note>,
-    ) -> (Vec<Row>, Vec<Note>) {
-        self.version = version;
-        let row =
-            |write: Write| Row { table: write.table, key: write.key, version, value: write.value };
-        let mut rows: Vec<Row> = batch.writes.into_iter().map(row).collect();
-        let role = rows.pop();
-        self.shared.apply(role.as_slice());
-        (rows, notes)
-    }
 }
 
 /// Logs a decision.
--- a/persimmondrift/src/cell/job.rs
+++ b/persimmondrift/src/cell/job.rs
@@ -199,6 +199,7 @@
 }
 
 /// A step: tasks that are alike.
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent property of a step")]
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Step {
     /// How many tasks it has.
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -126,7 +126,7 @@
             (0_u16..).zip(tasks.iter_mut()).filter(|(_, t)| t.phase == Phase::Waiting);
         let mut orders = Vec::new();
         for &(slot, count) in places {
-            let mut placed = Vec::new();
+            let mut tasks_here = Vec::new();
             for (index, task) in indices.by_ref().take(usize::try_from(count).unwrap_or(0)) {
                 task.phase = Phase::Ordered;
                 task.run = if step.gang { gang_run } else { task.run + 1 };
@@ -134,9 +134,9 @@
                     task.checkpoint.clone_from(&newest);
                 }
                 let checkpoint = task.checkpoint.clone();
-                placed.push(OrderTask { index, run: task.run, checkpoint, stop: false });
+                tasks_here.push(OrderTask { index, run: task.run, checkpoint, stop: false });
             }
-            orders.push((pool.slots[slot].agent.clone(), placed));
+            orders.push((pool.slots[slot].agent.clone(), tasks_here));
         }
         let progress = draft.change_progress(group.job, request);
         if progress.state == State::Queued {
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -41,6 +41,10 @@
 }
 
 /// Encodes a record as the value of a row.
+///
+/// # Panics
+///
+/// Panics if a record holds what the codec cannot write; none does.
 #[must_use]
 pub fn encode(record: &impl Serialize) -> Vec<u8> {
     postcard::to_stdvec(record).expect("records hold only what the codec can write")
--- a/persimmondrift/src/cell/role.rs
+++ b/persimmondrift/src/cell/role.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use crate::unit::{Time, Version};
+use super::record::{self, ROLE_KEY, Role};
+use super::table::{Batch, Condition, Outcome, Row, Table, Write};
+use crate::unit::{Epoch, Time, Version};
 
 /// Time without a write of the holder after which the role may be taken.
 pub const TERM: Duration = Duration::from_millis(1_600);
@@ -50,3 +52,71 @@
         now.since(self.since) >= wait
     }
 }
+
+/// What became of a write of a holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settled {
+    /// It was applied; these are its rows.
+    Applied(Vec<Row>),
+    /// Another condition than that of the role failed.
+    Conflict,
+    /// Another entry holds the role.
+    Lost,
+}
+
+/// One holding of the role. Each write of the holder is on condition that the role row is still
+/// its own, and writes that row anew, so a holder that was replaced can write nothing more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Term {
+    /// The version of the role row.
+    pub version: Version,
+    /// The epoch of this holding.
+    pub epoch: Epoch,
+    tag: u64,
+}
+
+impl Term {
+    /// Creates a holding that begins with its first write, given the version of the role row.
+    #[must_use]
+    pub fn new(version: Version, epoch: Epoch) -> Self {
+        Self { version, epoch, tag: 0 }
+    }
+
+    /// Turns conditions and writes into a batch of the holder. The batch is sent, unchanged, until
+    /// it is settled: it can take effect only once.
+    pub fn seal(
+        &mut self,
+        holder: &str,
+        tag: u64,
+        mut conditions: Vec<Condition>,
+        mut writes: Vec<Write>,
+    ) -> Batch {
+        self.tag = tag;
+        let role = Role { holder: holder.to_owned(), epoch: self.epoch, tag };
+        let key = ROLE_KEY.to_owned();
+        conditions.push(Condition { table: Table::Jobs, key: key.clone(), version: self.version });
+        writes.push(Write { table: Table::Jobs, key, value: Some(record::encode(&role)) });
+        Batch { conditions, writes }
+    }
+
+    /// Finds out what became of a batch by the store's answer.
+    pub fn settle(&mut self, batch: Batch, outcome: &Outcome) -> Settled {
+        let version = match outcome {
+            Outcome::Applied(version) => *version,
+            Outcome::Refused(rows) => {
+                let row = rows.iter().find(|row| row.key == ROLE_KEY);
+                let found: Option<Role> = row.and_then(|row| record::decode(row.value.as_deref()?));
+                let version = row.map_or(Version(0), |row| row.version);
+                // An earlier send may have been applied, and its answer lost.
+                if found.is_none_or(|found| found.tag != self.tag) {
+                    return if version == self.version { Settled::Conflict } else { Settled::Lost };
+                }
+                version
+            }
+        };
+        self.version = version;
+        let row =
+            |write: Write| Row { table: write.table, key: write.key, version, value: write.value };
+        Settled::Applied(batch.writes.into_iter().map(row).collect())
+    }
+}
