--- /dev/null
+++ b/persimmondrift/tests/cell_faults.rs
@@ -0,0 +1,110 @@
+//! Whole cells under faults drawn by seed: no promise is broken, and every job ends.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use persimmondrift::cell::job::{Id, Request, Room, Step};
+use persimmondrift::cell::record::State;
+use standin::cell::{Cell, Trouble};
+
+const SEEDS: u64 = 60;
+const WORKERS: usize = 6;
+const JOBS: u64 = 14;
+
+fn draw_request(rng: &mut Rng) -> Request {
+    let step = |rng: &mut Rng, after: Vec<u16>| {
+        let gang = rng.bool();
+        Step {
+            width: rng.u16(1..=4),
+            need: Room {
+                millicores: 2_000,
+                mebibytes: 4_096,
+                accelerators: [1, 2, 4, 8][rng.usize(..4)],
+            },
+            estimate_ms: rng.u32(1_500..6_000),
+            after,
+            checkpoints: rng.bool(),
+            gang,
+            one_rack: gang && rng.bool(),
+            ..Step::default()
+        }
+    };
+    let mut steps = vec![step(rng, Vec::new())];
+    if rng.bool() {
+        steps.push(step(rng, vec![0]));
+    }
+    Request { spec: "render".to_owned(), steps, schedule: None }
+}
+
+fn trouble(rng: &mut Rng) -> Trouble {
+    match rng.u8(..4) {
+        0 => Trouble::Hangs,
+        1 => Trouble::Mute,
+        _ => Trouble::LateStarts(Duration::from_millis(rng.u64(500..9_000))),
+    }
+}
+
+/// Does one thing to the cell.
+fn disturb(cell: &mut Cell, rng: &mut Rng) {
+    let vm = rng.usize(..WORKERS);
+    match rng.u8(..9) {
+        0 => cell.cut(vm, true),
+        1 => cell.freeze(vm, true),
+        2 => cell.restart_agent(vm),
+        3 => cell.lose_planner(),
+        4 => cell.worker(vm).restart(),
+        5 => cell.lose_power(),
+        6 => {
+            let what = trouble(rng);
+            cell.worker(vm).trouble = what;
+        }
+        _ => {
+            for vm in 0..WORKERS {
+                cell.cut(vm, false);
+                cell.freeze(vm, false);
+                cell.worker(vm).trouble = Trouble::None;
+            }
+        }
+    }
+}
+
+fn play(seed: u64) -> Result<(), String> {
+    let mut rng = Rng::with_seed(seed);
+    let mut cell = Cell::new(WORKERS);
+    cell.run(Duration::from_secs(2));
+    let queues = ["urgent", "normal", "low"];
+    for id in 1..=JOBS {
+        let request = draw_request(&mut rng);
+        cell.submit(Id(id), queues[rng.usize(..3)], ["ana", "luis"][rng.usize(..2)], request);
+        cell.run(Duration::from_millis(rng.u64(100..1_500)));
+        if rng.u8(..10) == 0 {
+            cell.cancel(Id(id));
+        }
+        if rng.bool() {
+            disturb(&mut cell, &mut rng);
+        }
+    }
+    for vm in 0..WORKERS {
+        cell.cut(vm, false);
+        cell.freeze(vm, false);
+        cell.worker(vm).trouble = Trouble::None;
+    }
+    let over = |cell: &Cell, id: u64| cell.state(Id(id)).is_some_and(State::is_final);
+    let ended = cell.run_until(Duration::from_mins(3), |cell| (1..=JOBS).all(|id| over(cell, id)));
+    if !cell.faults.is_empty() {
+        return Err(format!("seed {seed}: {:#?}", cell.faults));
+    }
+    let open: Vec<u64> = (1..=JOBS).filter(|id| !over(&cell, *id)).collect();
+    if !ended {
+        return Err(format!("seed {seed}: jobs {open:?} have not ended"));
+    }
+    // Nothing failed by itself here, so no job may be shown as failed.
+    let failed = (1..=JOBS).find(|id| cell.state(Id(*id)) == Some(State::Failed));
+    failed.map_or(Ok(()), |id| Err(format!("seed {seed}: job {id} is shown as failed")))
+}
+
+#[test]
+fn promises_hold() {
+    let broken: Vec<String> = (0..SEEDS).filter_map(|seed| play(seed).err()).collect();
+    assert!(broken.is_empty(), "{} of {SEEDS}: {}", broken.len(), broken.join("\n"));
+}
--- /dev/null
+++ b/persimmondrift/tests/cell_losses.rs
@@ -0,0 +1,130 @@
+//! What is lost and what is kept when processes, power or ways are lost.
+
+use std::time::Duration;
+
+use persimmondrift::cell::job::{Id, Request, Room, Step};
+use persimmondrift::cell::record::State;
+use standin::cell::{Cell, LONGEST_LEASE, Trouble};
+
+fn request(width: u16, accelerators: u32) -> Request {
+    let need = Room { millicores: 2_000, mebibytes: 4_096, accelerators };
+    let step = Step { width, need, estimate_ms: 3_000, checkpoints: true, ..Step::default() };
+    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
+}
+
+fn completes(cell: &mut Cell, id: Id) -> bool {
+    cell.run_until(Duration::from_secs(30), |cell| cell.state(id) == Some(State::Completed))
+}
+
+#[test]
+fn power_after_acceptance() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(4, 2));
+    cell.lose_power();
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.faults, Vec::<String>::new());
+}
+
+#[test]
+fn power_after_cancel() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(4, 2));
+    cell.run(Duration::from_secs(1));
+    cell.cancel(Id(1));
+    cell.lose_power();
+    let starts = cell.starts(Id(1));
+    cell.run(Duration::from_secs(5));
+    assert_eq!(cell.state(Id(1)), Some(State::Cancelled));
+    assert_eq!(cell.starts(Id(1)), starts);
+}
+
+#[test]
+fn power_keeps_checkpoints() {
+    let mut cell = Cell::new(1);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(1, 8));
+    cell.run(Duration::from_millis(2_600));
+    cell.lose_power();
+    // A third of the work is left at most, since a checkpoint after two seconds was reported.
+    let ended = cell.run_until(Duration::from_millis(2_600), |cell| {
+        cell.state(Id(1)) == Some(State::Completed)
+    });
+    assert!(ended, "the task began anew");
+}
+
+#[test]
+fn cut_agent_lapses() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(1, 8));
+    cell.run(Duration::from_millis(500));
+    let holder = (0..2).find(|vm| !cell.running(*vm).is_empty()).expect("the task runs");
+    cell.worker(holder).trouble = Trouble::Hangs;
+    cell.cut(holder, true);
+    // The other worker gets the task, and not before this one is empty.
+    cell.run(LONGEST_LEASE - Duration::from_secs(1));
+    assert!(cell.running(1 - holder).is_empty(), "the lease may still be in force");
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.faults, Vec::<String>::new());
+}
+
+#[test]
+fn stale_orders_wait() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    // Stands still from the moment of the order, so that its start was not sent yet.
+    cell.submit(Id(1), "normal", "ana", request(1, 8));
+    cell.freeze(0, true);
+    cell.freeze(1, true);
+    cell.run(Duration::from_millis(200));
+    cell.freeze(1, false);
+    cell.run(Duration::from_secs(12));
+    cell.freeze(0, false);
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.starts(Id(1)), 1, "the agent that woke up started what had gone to another");
+    assert_eq!(cell.faults, Vec::<String>::new());
+}
+
+#[test]
+fn late_start_stopped() {
+    let mut cell = Cell::new(1);
+    cell.run(Duration::from_secs(2));
+    cell.worker(0).trouble = Trouble::LateStarts(Duration::from_secs(4));
+    cell.submit(Id(1), "normal", "ana", request(1, 8));
+    cell.run(Duration::from_millis(300));
+    cell.worker(0).trouble = Trouble::None;
+    cell.cancel(Id(1));
+    cell.run(Duration::from_secs(8));
+    assert_eq!(cell.starts(Id(1)), 1, "only the start that was sent again may be carried out");
+    assert!(cell.running(0).is_empty(), "a start came through after its stop");
+}
+
+#[test]
+fn planner_change_keeps_work() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(4, 2));
+    cell.run(Duration::from_secs(1));
+    for _ in 0..10 {
+        cell.lose_planner();
+        cell.run(Duration::from_millis(100));
+    }
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.starts(Id(1)), 4);
+}
+
+#[test]
+fn agent_restart_adopts() {
+    let mut cell = Cell::new(1);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(4, 2));
+    cell.run(Duration::from_secs(1));
+    for _ in 0..10 {
+        cell.restart_agent(0);
+        cell.run(Duration::from_millis(150));
+    }
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.starts(Id(1)), 4);
+}
--- /dev/null
+++ b/persimmondrift/tests/guarantee_room.rs
@@ -0,0 +1,72 @@
+//! A guarantee that is claimed on full workers is honoured within its bound.
+
+use std::time::Duration;
+
+use persimmondrift::cell::job::{Id, Request, Room, Step, Task};
+use persimmondrift::cell::reclaim::{Victim, victims};
+use standin::cell::Cell;
+
+/// The users' bound on the start of guaranteed work.
+const RECLAIM_BOUND: Duration = Duration::from_millis(2_900);
+
+fn request(width: u16, accelerators: u32, gang: bool) -> Request {
+    let need = Room { millicores: 2_000, mebibytes: 4_096, accelerators };
+    let step = Step { width, need, estimate_ms: 30_000, gang, ..Step::default() };
+    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
+}
+
+fn room(accelerators: u32) -> Room {
+    Room { millicores: 1_000, mebibytes: 1_024, accelerators }
+}
+
+fn victim(index: u16, accelerators: u32, loss: u64) -> Victim {
+    let task = Task { job: Id(1), occurrence: 0, step: 0, index };
+    Victim { task, room: room(accelerators), loss }
+}
+
+#[test]
+fn full_workers_yield() {
+    for (width, accelerators, gang) in [(2, 8, true), (16, 1, false), (4, 4, true)] {
+        let mut cell = Cell::new(4);
+        cell.run(Duration::from_secs(2));
+        // More than there is room for, again and again, so that no room becomes free by itself.
+        for id in 1..=6 {
+            cell.submit(Id(id), "low", "luis", request(16, 1, false));
+        }
+        cell.run(Duration::from_secs(1));
+        cell.submit(Id(50), "urgent", "ana", request(width, accelerators, gang));
+        let all = usize::from(width);
+        let begun = cell.run_until(RECLAIM_BOUND, |cell| cell.starts(Id(50)) == all);
+        assert!(begun, "{width} x {accelerators}: {} started", cell.starts(Id(50)));
+        assert_eq!(cell.faults, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn beyond_guarantee_waits() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "urgent", "luis", request(2, 8, true));
+    cell.run(Duration::from_millis(500));
+    // The guarantee of luis is used up to its end, so that of ana cannot take it.
+    cell.submit(Id(2), "urgent", "ana", request(3, 8, true));
+    cell.run(RECLAIM_BOUND);
+    assert_eq!(cell.starts(Id(2)), 0);
+    assert_eq!(cell.starts(Id(1)), 2, "what is guaranteed was stopped");
+}
+
+#[test]
+fn least_loss_first() {
+    let candidates = [victim(0, 4, 900), victim(1, 2, 100), victim(2, 2, 200), victim(3, 8, 500)];
+    let chosen = victims(room(0), room(4), &candidates).expect("there is room");
+    let indices: Vec<u16> = chosen.iter().map(|victim| victim.task.index).collect();
+    assert_eq!(indices, [1, 2], "two cheap ones make the room");
+    let chosen = victims(room(0), room(8), &candidates).expect("there is room");
+    assert_eq!(chosen.iter().map(|victim| victim.loss).sum::<u64>(), 500, "one is enough");
+}
+
+#[test]
+fn none_needed() {
+    assert_eq!(victims(room(4), room(4), &[victim(0, 8, 1)]), Some(Vec::new()));
+    assert_eq!(victims(room(0), room(4), &[victim(0, 2, 1)]), None);
+}
--- /dev/null
+++ b/persimmondrift/tests/planner_role.rs
@@ -0,0 +1,98 @@
+//! Succession of the planner, and the writes of a holder.
+
+use std::time::Duration;
+
+use persimmondrift::cell::role::{Settled, Succession, TERM, Term};
+use persimmondrift::cell::table::{Table, Write};
+use persimmondrift::unit::{Epoch, Time, Version};
+use standin::cell::Rows;
+
+const NEAR: Duration = Duration::from_millis(7);
+const FAR: Duration = Duration::from_millis(70);
+
+fn millis(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// Lets an entry read the same version every 100 ms.
+fn watch(succession: &mut Succession, from: u64, to: u64, version: u64) {
+    for at in (from..=to).step_by(100) {
+        succession.read(millis(at), millis(at), Version(version));
+    }
+}
+
+fn write(key: &str) -> Vec<Write> {
+    vec![Write { table: Table::Orders, key: key.to_owned(), value: Some(vec![1]) }]
+}
+
+#[test]
+fn silent_holder_replaced() {
+    let mut succession = Succession::default();
+    watch(&mut succession, 1_000, 2_500, 5);
+    assert!(!succession.may_take(millis(2_500), true, NEAR));
+    watch(&mut succession, 2_600, 2_800, 5);
+    assert!(succession.may_take(millis(2_800), true, NEAR));
+    assert!(!succession.may_take(millis(2_800), true, FAR), "the nearer one comes first");
+}
+
+#[test]
+fn renewals_hold() {
+    let mut succession = Succession::default();
+    for (number, at) in (1_000..9_000).step_by(500).enumerate() {
+        watch(&mut succession, at, at + 400, u64::try_from(number).expect("small"));
+    }
+    assert!(!succession.may_take(millis(8_900), true, NEAR));
+}
+
+#[test]
+fn outage_stops_clock() {
+    let mut succession = Succession::default();
+    watch(&mut succession, 1_000, 1_500, 5);
+    // No read succeeds for five seconds.
+    succession.read(millis(6_500), millis(6_500), Version(5));
+    assert!(!succession.may_take(millis(6_500), true, NEAR), "the holder could not write either");
+    let term = u64::try_from(TERM.as_millis()).expect("small");
+    watch(&mut succession, 6_600, 6_600 + term, 5);
+    assert!(succession.may_take(millis(6_600 + term), true, NEAR));
+}
+
+#[test]
+fn given_back_at_once() {
+    let mut succession = Succession::default();
+    succession.read(millis(1_000), millis(1_000), Version(5));
+    assert!(succession.may_take(millis(1_100), false, NEAR));
+}
+
+#[test]
+fn replaced_holder_writes_nothing() {
+    let mut rows = Rows::default();
+    let mut first = Term::new(Version(0), Epoch(1));
+    let batch = first.seal("a", 1, Vec::new(), Vec::new());
+    let outcome = rows.commit(&batch);
+    assert!(matches!(first.settle(batch, &outcome), Settled::Applied(_)));
+    let mut second = Term::new(first.version, Epoch(2));
+    let batch = second.seal("b", 2, Vec::new(), Vec::new());
+    let outcome = rows.commit(&batch);
+    assert!(matches!(second.settle(batch, &outcome), Settled::Applied(_)));
+    let batch = first.seal("a", 3, Vec::new(), write("stale"));
+    let outcome = rows.commit(&batch);
+    assert_eq!(first.settle(batch, &outcome), Settled::Lost);
+    assert_eq!(rows.get(Table::Orders, "stale"), None);
+}
+
+#[test]
+fn lost_answer_recognised() {
+    let mut rows = Rows::default();
+    let mut term = Term::new(Version(0), Epoch(1));
+    let batch = term.seal("a", 1, Vec::new(), write("order"));
+    // The first send is applied and its answer lost; the second one is refused.
+    rows.commit(&batch);
+    let outcome = rows.commit(&batch);
+    let Settled::Applied(written) = term.settle(batch, &outcome) else {
+        panic!("the batch was applied");
+    };
+    assert_eq!(written[0].key, "order");
+    let batch = term.seal("a", 2, Vec::new(), write("next"));
+    let outcome = rows.commit(&batch);
+    assert!(matches!(term.settle(batch, &outcome), Settled::Applied(_)));
+}
--- /dev/null
+++ b/persimmondrift/tests/worker_trust.rs
@@ -0,0 +1,78 @@
+//! Workers that fail or hang while they look sound do not draw in what waits.
+
+use std::time::Duration;
+
+use persimmondrift::cell::health::{Health, Trust};
+use persimmondrift::cell::job::{Id, Request, Room, Step};
+use persimmondrift::cell::record::State;
+use persimmondrift::unit::Time;
+use standin::cell::{Cell, Trouble};
+
+fn request(width: u16, accelerators: u32) -> Request {
+    let need = Room { millicores: 2_000, mebibytes: 4_096, accelerators };
+    let step = Step { width, need, estimate_ms: 3_000, ..Step::default() };
+    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
+}
+
+#[test]
+fn failing_worker_rests() {
+    let mut cell = Cell::new(4);
+    cell.run(Duration::from_secs(2));
+    cell.worker(0).trouble = Trouble::Fails;
+    for id in 1..=20 {
+        cell.submit(Id(id), "normal", "ana", request(2, 4));
+        cell.run(Duration::from_millis(300));
+    }
+    cell.run(Duration::from_secs(40));
+    let failed = (1..=20).filter(|id| cell.state(Id(*id)) == Some(State::Failed)).count();
+    assert_eq!(failed, 0, "a task may fail three times, and never twice on one worker");
+    assert!(cell.worker(0).starts.len() < 12, "{} starts", cell.worker(0).starts.len());
+}
+
+#[test]
+fn hung_task_moves() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(1, 8));
+    cell.run(Duration::from_millis(600));
+    let holder = (0..2).find(|vm| !cell.running(*vm).is_empty()).expect("the task runs");
+    cell.worker(holder).trouble = Trouble::Hangs;
+    let ended =
+        cell.run_until(Duration::from_secs(12), |cell| cell.state(Id(1)) == Some(State::Completed));
+    assert!(ended);
+    assert_eq!(cell.running(1 - holder), Vec::new());
+    assert_eq!(cell.faults, Vec::<String>::new());
+}
+
+#[test]
+fn all_suspected_still_work() {
+    let mut cell = Cell::new(2);
+    cell.run(Duration::from_secs(2));
+    for vm in 0..2 {
+        cell.worker(vm).trouble = Trouble::Fails;
+    }
+    cell.submit(Id(1), "normal", "ana", request(1, 1));
+    cell.submit(Id(2), "normal", "ana", request(1, 1));
+    cell.run(Duration::from_secs(8));
+    for vm in 0..2 {
+        cell.worker(vm).trouble = Trouble::None;
+    }
+    cell.submit(Id(3), "normal", "ana", request(1, 1));
+    let ended =
+        cell.run_until(Duration::from_secs(8), |cell| cell.state(Id(3)) == Some(State::Completed));
+    assert!(ended, "work waits though only suspected workers are there");
+}
+
+#[test]
+fn trust_returns() {
+    let mut health = Health::default();
+    let at = Time::from_secs;
+    assert_eq!(health.judge(at(1), "a"), Trust::Full);
+    health.suspect(at(1), "a", 1);
+    assert_eq!(health.judge(at(1), "a"), Trust::Doubted);
+    health.suspect(at(1), "a", 1);
+    assert_eq!(health.judge(at(2), "a"), Trust::Resting);
+    assert_eq!(health.judge(at(60), "a"), Trust::Probed);
+    health.trust("a");
+    assert_eq!(health.judge(at(60), "a"), Trust::Full);
+}
--- /dev/null
+++ b/standin/src/cell.rs
@@ -0,0 +1,441 @@
+//! A whole cell in virtual time: the rows of the store, workers, agents and a planner, with
+//! faults at set times, and the promises checked after each step.
+
+mod rows;
+mod target;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use persimmondrift::cell::access::{Config, Queue, Workspace};
+use persimmondrift::cell::agent::REPORT_EVERY;
+use persimmondrift::cell::duty::{Action, Duty, Heartbeat};
+use persimmondrift::cell::grant;
+use persimmondrift::cell::job::{Id, Request, Room, Task};
+use persimmondrift::cell::mirror::{Jobs, Mirror};
+use persimmondrift::cell::planner::{self, Input, Planner};
+use persimmondrift::cell::record::{self, Job, Order, State, Worker};
+use persimmondrift::cell::report::{Answer, Reporter};
+use persimmondrift::cell::role::{Settled, Term};
+use persimmondrift::cell::table::{Row, Table, Write};
+use persimmondrift::unit::{Epoch, Time, Version};
+
+pub use rows::Rows;
+pub use target::{Target, Trouble};
+
+/// Length of a step.
+const STEP: Duration = Duration::from_millis(50);
+/// Longest lease that a worker keeps.
+pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
+/// The service of all workers.
+pub const SERVICE: &str = "studio";
+
+/// The process of an agent.
+#[derive(Debug)]
+struct Agent {
+    duty: Duty,
+    reporter: Reporter,
+    reported: Time,
+}
+
+/// The VM of a worker and its agent.
+#[derive(Debug)]
+struct Vm {
+    name: String,
+    rack: String,
+    worker: Target,
+    agent: Option<Agent>,
+    /// Whether the store is out of the agent's reach.
+    cut: bool,
+    /// Whether the agent stands still.
+    frozen: bool,
+    beats: u64,
+}
+
+/// A cell.
+pub struct Cell {
+    /// The time.
+    pub now: Time,
+    /// The rows of the store.
+    pub rows: Rows,
+    /// The configuration in force.
+    pub config: Config,
+    vms: Vec<Vm>,
+    planner: Option<(Planner, Term)>,
+    /// Broken promises.
+    pub faults: Vec<String>,
+    cancelled: BTreeSet<Id>,
+    requests: BTreeMap<Id, Request>,
+    next_boot: u64,
+}
+
+/// Returns a queue of the stand-in's configuration.
+#[must_use]
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "studio.example".to_owned(),
+        prefix: format!("/{name}/"),
+        service: SERVICE.to_owned(),
+        priority,
+        attempts: 3,
+        stretch_permille: 3_000,
+        latency_ms: 1_000,
+        public: false,
+        advised: false,
+    }
+}
+
+impl Cell {
+    /// Creates a cell of workers with 8 accelerators, 3 to a rack, and two workspaces that are
+    /// guaranteed 16 accelerators each.
+    #[must_use]
+    pub fn new(workers: usize) -> Self {
+        let workspace = |name: &str| Workspace {
+            name: name.to_owned(),
+            keys: vec![format!("key-{name}")],
+            guaranteed: 16,
+        };
+        let config = Config {
+            version: Version(1),
+            queues: vec![queue("urgent", 0), queue("normal", 1), queue("low", 2)],
+            workspaces: vec![workspace("ana"), workspace("luis")],
+            services: Vec::new(),
+            body_most: 0,
+        };
+        let vms = (0..workers).map(|number| Vm {
+            name: format!("vm-{number}"),
+            rack: format!("r{}", number / 3),
+            worker: Target::new(1, u64::try_from(number).unwrap_or(0)),
+            agent: None,
+            cut: false,
+            frozen: false,
+            beats: 0,
+        });
+        Self {
+            now: Time::from_secs(100),
+            rows: Rows::default(),
+            config,
+            vms: vms.collect(),
+            planner: None,
+            faults: Vec::new(),
+            cancelled: BTreeSet::new(),
+            requests: BTreeMap::new(),
+            next_boot: 1,
+        }
+    }
+
+    /// Accepts a job.
+    pub fn submit(&mut self, id: Id, queue: &str, workspace: &str, request: Request) {
+        let queue = self.config.queue_named(queue).cloned().unwrap_or_default();
+        self.requests.insert(id, request.clone());
+        let job = Job {
+            queue,
+            workspace: Some(workspace.to_owned()),
+            accepted_ms: self.wall_ms(),
+            cancelled: false,
+            request: Some(request),
+        };
+        self.put_job(id, &job);
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: Id) {
+        let jobs = self.jobs();
+        if let Some(job) = jobs.job(id) {
+            self.put_job(id, &Job { cancelled: true, ..job.clone() });
+            self.cancelled.insert(id);
+        }
+    }
+
+    /// Returns the state of a job.
+    #[must_use]
+    pub fn state(&self, id: Id) -> Option<State> {
+        self.jobs().state(id)
+    }
+
+    /// Returns what a worker runs now, with the number of the run.
+    #[must_use]
+    pub fn running(&self, vm: usize) -> Vec<(Task, u32)> {
+        self.vms[vm].worker.running().collect()
+    }
+
+    /// Returns how often tasks of a job were started.
+    #[must_use]
+    pub fn starts(&self, id: Id) -> usize {
+        let starts = self.vms.iter().flat_map(|vm| vm.worker.starts.iter());
+        starts.filter(|(task, _)| task.job == id).count()
+    }
+
+    /// Returns the worker of a VM, to set what goes wrong there.
+    pub fn worker(&mut self, vm: usize) -> &mut Target {
+        &mut self.vms[vm].worker
+    }
+
+    /// Starts the process of an agent anew.
+    pub fn restart_agent(&mut self, vm: usize) {
+        self.vms[vm].agent = None;
+    }
+
+    /// Takes the store out of an agent's reach, or back into it.
+    pub fn cut(&mut self, vm: usize, cut: bool) {
+        self.vms[vm].cut = cut;
+    }
+
+    /// Lets an agent stand still, or wakes it.
+    pub fn freeze(&mut self, vm: usize, frozen: bool) {
+        self.vms[vm].frozen = frozen;
+    }
+
+    /// Ends the planner; another takes over after a while.
+    pub fn lose_planner(&mut self) {
+        self.planner = None;
+    }
+
+    /// Ends all processes and workers at once. Only the rows of the store remain.
+    pub fn lose_power(&mut self) {
+        self.planner = None;
+        for vm in &mut self.vms {
+            vm.agent = None;
+            vm.worker.restart();
+        }
+    }
+
+    /// Runs for a span.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until a condition holds, and returns whether it came to hold within a span.
+    pub fn run_until(&mut self, span: Duration, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + span;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.step();
+        }
+        done(self)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for vm in &mut self.vms {
+            vm.worker.advance(STEP);
+        }
+        self.break_gangs();
+        for index in 0..self.vms.len() {
+            self.drive_agent(index);
+        }
+        self.drive_planner();
+        self.check();
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.now.0 / 1_000
+    }
+
+    fn jobs(&self) -> Jobs {
+        let mut jobs = Jobs::default();
+        jobs.reset(self.rows.snapshot(Table::Jobs));
+        jobs
+    }
+
+    fn put_job(&mut self, id: Id, job: &Job) {
+        let (key, value) = (record::job_key(id), Some(record::encode(job)));
+        self.rows.write(Write { table: Table::Jobs, key, value });
+    }
+
+    /// Lets the members of a gang end together.
+    fn break_gangs(&mut self) {
+        let gang = |requests: &BTreeMap<Id, Request>, task: Task| {
+            let step = requests.get(&task.job)?.steps.get(usize::from(task.step))?;
+            step.gang.then_some(())
+        };
+        let mut broken = BTreeSet::new();
+        for vm in &self.vms {
+            for (task, run) in vm.worker.ended_badly() {
+                if gang(&self.requests, task).is_some() {
+                    broken.insert((task.group(), run));
+                }
+            }
+        }
+        for vm in &mut self.vms {
+            vm.worker.break_gangs(&broken);
+        }
+    }
+
+    fn drive_agent(&mut self, index: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[index];
+        if vm.frozen {
+            return;
+        }
+        let Some(agent) = &mut vm.agent else {
+            if !vm.cut {
+                vm.agent = Some(start_agent(&self.rows, &vm.name, self.next_boot, now));
+                self.next_boot += 1;
+            }
+            return;
+        };
+        vm.beats += 1;
+        agent.duty.heartbeat(now, heartbeat(&vm.worker, &vm.rack, vm.beats));
+        let held = vm.worker.look(agent.duty.extend(now), agent.duty.noted());
+        let news =
+            held.is_some_and(|held| agent.duty.held(now, now, &held)) || agent.duty.lapse(now);
+        if !vm.cut {
+            let rows = self.rows.snapshot(Table::Orders);
+            let own =
+                rows.rows.into_iter().filter(|row| row.key.starts_with(&format!("{}/", vm.name)));
+            agent.duty.ordered(&removed_too(&self.rows, own.collect()));
+            if news || now.since(agent.reported) >= REPORT_EVERY {
+                report(&mut self.rows, agent, &vm.name, now);
+            }
+        }
+        while let Some(action) = agent.duty.next(now) {
+            match action {
+                Action::Start { task, run, checkpoint, deadline_ms, .. } => {
+                    let need = need_of(&self.requests, task);
+                    let answer = vm.worker.start(task, run, need, &checkpoint, deadline_ms);
+                    agent.duty.start_answered(now, task, run, answer);
+                    if answer == persimmondrift::cell::duty::StartAnswer::NoAnswer {
+                        break;
+                    }
+                }
+                Action::Stop { task, run } => {
+                    let answered = vm.worker.stop(task, run);
+                    agent.duty.stop_sent(now, task, run, answered);
+                    if !answered {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn drive_planner(&mut self) {
+        let jobs = self.jobs();
+        if self.planner.is_none() {
+            let (version, role) = jobs.role();
+            let settings = planner::Settings {
+                grant: grant::span(LONGEST_LEASE),
+                keep: Duration::from_mins(2),
+                gang_wait: Duration::from_secs(3),
+                report_every: REPORT_EVERY,
+            };
+            let term = Term::new(version, Epoch(role.epoch.0 + 1));
+            self.planner = Some((Planner::new(settings), term));
+        }
+        let Some((planner, term)) = &mut self.planner else {
+            return;
+        };
+        let mut orders = Mirror::<Order>::default();
+        orders.reset(&self.rows.snapshot(Table::Orders));
+        let mut workers = Mirror::<Worker>::default();
+        workers.reset(&self.rows.snapshot(Table::Workers));
+        let plan = planner.plan(Input {
+            now: self.now,
+            wall_ms: self.now.0 / 1_000,
+            config: &self.config,
+            jobs: &jobs,
+            orders: &orders,
+            workers: &workers,
+            reports_read: self.now,
+            epoch: term.epoch,
+        });
+        let batch = term.seal("planner", self.now.0, plan.conditions, plan.writes);
+        let entries = batch.conditions.len() + batch.writes.len();
+        if entries > planner::ENTRIES_MOST {
+            self.faults.push(format!("a batch has {entries} entries"));
+        }
+        let outcome = self.rows.commit(&batch);
+        if term.settle(batch, &outcome) == Settled::Lost {
+            self.planner = None;
+        }
+    }
+
+    /// Checks what must always hold.
+    fn check(&mut self) {
+        let mut seen: BTreeMap<Task, u32> = BTreeMap::new();
+        for vm in &self.vms {
+            for (task, run) in vm.worker.running() {
+                if seen.insert(task, run).is_some() {
+                    self.faults.push(format!("{} {task} runs twice at once", self.now));
+                }
+            }
+            if !vm.worker.fits() {
+                self.faults.push(format!("{} {} is over its capacity", self.now, vm.name));
+            }
+        }
+        let done: BTreeSet<Task> =
+            self.vms.iter().flat_map(|vm| vm.worker.noted_done.iter().copied()).collect();
+        for task in seen.keys().filter(|task| done.contains(task)) {
+            self.faults.push(format!("{} {task} runs after it was done", self.now));
+        }
+        self.faults.truncate(20);
+    }
+
+    /// Returns whether a task ended well and its end was taken note of.
+    #[must_use]
+    pub fn is_noted_done(&self, task: Task) -> bool {
+        self.vms.iter().any(|vm| vm.worker.noted_done.contains(&task))
+    }
+}
+
+/// Starts the process of an agent: reads what the last one left behind.
+fn start_agent(rows: &Rows, name: &str, boot: u64, now: Time) -> Agent {
+    let row = rows.get(Table::Workers, name);
+    let last: Option<Worker> = row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+    let mut duty = Duty::new(name, last.as_ref());
+    duty.fence(Epoch(1));
+    let mut orders = rows.snapshot(Table::Orders);
+    orders.rows.retain(|row| row.key.starts_with(&format!("{name}/")));
+    duty.reset_orders(&orders);
+    let version = row.map_or(Version(0), |row| row.version);
+    Agent { duty, reporter: Reporter::new(name, boot, version), reported: now }
+}
+
+fn report(rows: &mut Rows, agent: &mut Agent, name: &str, now: Time) {
+    let listed = agent.duty.listed();
+    let batch = agent.reporter.batch(agent.duty.report(now));
+    let outcome = rows.commit(&batch);
+    match agent.reporter.answered(&outcome) {
+        Answer::Granted => agent.duty.reported(now, grant::span(LONGEST_LEASE), listed),
+        Answer::Reread => {
+            let mut orders = rows.snapshot(Table::Orders);
+            orders.rows.retain(|row| row.key.starts_with(&format!("{name}/")));
+            agent.duty.reset_orders(&orders);
+            agent.reporter.reread();
+            agent.duty.reported(now, grant::span(LONGEST_LEASE), listed);
+        }
+        Answer::GivenUp | Answer::Again => return,
+    }
+    agent.reported = now;
+}
+
+/// Adds the marks of removed rows, as a watch would bring them.
+fn removed_too(rows: &Rows, mut own: Vec<Row>) -> Vec<Row> {
+    own.extend(rows.removed(Table::Orders));
+    own
+}
+
+fn need_of(requests: &BTreeMap<Id, Request>, task: Task) -> Room {
+    let step = requests.get(&task.job).and_then(|r| r.steps.get(usize::from(task.step)));
+    step.map(|step| step.need).unwrap_or_default()
+}
+
+fn heartbeat(worker: &Target, rack: &str, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        life: worker.life(),
+        sequence,
+        draining: worker.draining,
+        service: SERVICE.to_owned(),
+        labels: vec!["a".to_owned(), rack.to_owned()],
+        capacity: target::CAPACITY,
+        remaining_ms: 3_000,
+        cold_ms: 0,
+    }
+}
--- /dev/null
+++ b/standin/src/cell/target.rs
@@ -0,0 +1,277 @@
+//! A worker in virtual time: leases, ends, checkpoints, late orders, new lives.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use persimmondrift::cell::duty::{Held, StartAnswer};
+use persimmondrift::cell::job::{Group, Room, Task};
+use persimmondrift::cell::record::{Ending, Life};
+
+/// What each worker has.
+pub const CAPACITY: Room = Room { millicores: 32_000, mebibytes: 131_072, accelerators: 8 };
+/// How long each task works, in milliseconds.
+pub const WORK_MS: u64 = 3_000;
+/// How long a stop takes, in milliseconds.
+const STOP_MS: u64 = 400;
+/// Work between two checkpoints, in milliseconds.
+const SAVE_MS: u64 = 500;
+/// Rate of the worker's clock in percent of the true one: as slow as it may be.
+const CLOCK_PERCENT: u64 = 98;
+
+/// What goes wrong at a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// All that it starts fails at once.
+    Fails,
+    /// What it runs stands still.
+    Hangs,
+    /// Starts get no answer and are carried out after a while.
+    LateStarts(Duration),
+    /// It answers nothing, and runs on.
+    Mute,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    run: u32,
+    need: Room,
+    done_ms: u64,
+    saved: String,
+    stop_ms: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct LateStart {
+    at_ms: u64,
+    task: Task,
+    run: u32,
+    need: Room,
+    checkpoint: String,
+    deadline_ms: u64,
+}
+
+/// A worker.
+#[derive(Debug, Default)]
+pub struct Target {
+    life: Life,
+    number: u64,
+    true_ms: u64,
+    deadline_ms: u64,
+    running: BTreeMap<Task, Running>,
+    finished: Vec<(u64, Task, u32, Ending, String)>,
+    /// The highest run of each task that was stopped or has ended here.
+    over: BTreeMap<Task, u32>,
+    late: Vec<LateStart>,
+    next_end: u64,
+    /// Ends up to this number were listed before the lease lapsed once: they do not bind.
+    void_upto: u64,
+    /// What goes wrong.
+    pub trouble: Trouble,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// All starts that were carried out.
+    pub starts: Vec<(Task, u32)>,
+    /// Tasks whose end `done` was taken note of before the lease lapsed.
+    pub noted_done: BTreeSet<Task>,
+}
+
+impl Target {
+    /// Creates a worker.
+    #[must_use]
+    pub fn new(born_ms: u64, number: u64) -> Self {
+        let life = Life { born_ms, id: format!("i-{number}-{born_ms}") };
+        Self { life, number, ..Self::default() }
+    }
+
+    /// Begins a new life in which nothing runs.
+    pub fn restart(&mut self) {
+        let starts = std::mem::take(&mut self.starts);
+        let noted_done = std::mem::take(&mut self.noted_done);
+        *self = Self { starts, noted_done, ..Self::new(self.life.born_ms + 1, self.number) };
+    }
+
+    /// Returns its life.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        self.life.clone()
+    }
+
+    /// Returns what runs.
+    pub fn running(&self) -> impl Iterator<Item = (Task, u32)> {
+        self.running.iter().map(|(task, running)| (*task, running.run))
+    }
+
+    /// Returns whether what runs fits.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        let used = self.running.values().fold(Room::default(), |used, own| used + own.need);
+        CAPACITY.holds(used)
+    }
+
+    /// Returns the runs that have ended otherwise than well.
+    pub fn ended_badly(&self) -> impl Iterator<Item = (Task, u32)> {
+        let bad = self.finished.iter().filter(|(_, _, _, ending, _)| *ending != Ending::Done);
+        bad.map(|(_, task, run, ..)| (*task, *run))
+    }
+
+    /// Ends the members of gangs of which another member has ended badly.
+    pub fn break_gangs(&mut self, broken: &BTreeSet<(Group, u32)>) {
+        let hit: Vec<Task> = self
+            .running
+            .iter()
+            .filter(|(task, own)| broken.contains(&(task.group(), own.run)))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in hit {
+            self.end(task, Ending::Broken);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, span: Duration) {
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(0);
+        self.true_ms += span_ms;
+        if self.clock_ms() >= self.deadline_ms {
+            for task in self.running.keys().copied().collect::<Vec<_>>() {
+                self.end(task, Ending::Lapsed);
+            }
+            self.void_upto = self.next_end;
+        }
+        let due: Vec<LateStart> = self.late.extract_if(.., |l| l.at_ms <= self.true_ms).collect();
+        for late in due {
+            self.carry_out(late.task, late.run, late.need, &late.checkpoint, late.deadline_ms);
+        }
+        let trouble = self.trouble;
+        let mut over = Vec::new();
+        for (task, own) in &mut self.running {
+            if let Some(left) = own.stop_ms {
+                own.stop_ms = Some(left.saturating_sub(span_ms));
+                if left <= span_ms {
+                    over.push((*task, Ending::Stopped));
+                }
+            } else if trouble == Trouble::Fails {
+                over.push((*task, Ending::Failed));
+            } else if trouble != Trouble::Hangs {
+                own.done_ms += span_ms;
+                own.saved = format!("{:016x}", own.done_ms / SAVE_MS * SAVE_MS);
+                if own.done_ms >= WORK_MS {
+                    over.push((*task, Ending::Done));
+                }
+            }
+        }
+        for (task, ending) in over {
+            self.end(task, ending);
+        }
+    }
+
+    /// Answers a look, which extends the lease and forgets ends.
+    pub fn look(&mut self, deadline_ms: Option<u64>, noted: u64) -> Option<Held> {
+        if self.trouble == Trouble::Mute {
+            return None;
+        }
+        self.extend(deadline_ms.unwrap_or(0));
+        for (number, task, _, ending, _) in self.finished.iter().filter(|(n, ..)| *n <= noted) {
+            if *ending == Ending::Done && *number > self.void_upto {
+                self.noted_done.insert(*task);
+            }
+        }
+        self.finished.retain(|(number, ..)| *number > noted);
+        let running = self.running.iter().map(|(task, own)| {
+            let percent = u8::try_from(own.done_ms * 100 / WORK_MS).unwrap_or(100);
+            (*task, own.run, own.saved.clone(), percent)
+        });
+        Some(Held {
+            born_ms: self.life.born_ms,
+            clock_ms: self.clock_ms(),
+            running: running.collect(),
+            finished: self.finished.clone(),
+        })
+    }
+
+    /// Takes a start.
+    pub fn start(
+        &mut self,
+        task: Task,
+        run: u32,
+        need: Room,
+        checkpoint: &str,
+        deadline_ms: u64,
+    ) -> StartAnswer {
+        match self.trouble {
+            Trouble::Mute => StartAnswer::NoAnswer,
+            Trouble::LateStarts(delay) => {
+                let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(0);
+                let at_ms = self.true_ms + delay_ms;
+                let checkpoint = checkpoint.to_owned();
+                self.late.push(LateStart { at_ms, task, run, need, checkpoint, deadline_ms });
+                StartAnswer::NoAnswer
+            }
+            _ => self.carry_out(task, run, need, checkpoint, deadline_ms),
+        }
+    }
+
+    /// Takes a stop. Returns whether it is answered.
+    pub fn stop(&mut self, task: Task, run: u32) -> bool {
+        if self.trouble == Trouble::Mute {
+            return false;
+        }
+        match self.running.get_mut(&task) {
+            Some(own) if own.run == run => {
+                own.stop_ms.get_or_insert(STOP_MS);
+            }
+            Some(_) => {}
+            None => {
+                let over = self.over.entry(task).or_default();
+                *over = (*over).max(run);
+            }
+        }
+        true
+    }
+
+    fn carry_out(
+        &mut self,
+        task: Task,
+        run: u32,
+        need: Room,
+        checkpoint: &str,
+        deadline_ms: u64,
+    ) -> StartAnswer {
+        if deadline_ms <= self.clock_ms() {
+            return StartAnswer::Late;
+        }
+        self.extend(deadline_ms);
+        if self.running.get(&task).is_some_and(|own| own.run == run) {
+            return StartAnswer::Started;
+        }
+        if self.over.get(&task).is_some_and(|over| *over >= run) {
+            return StartAnswer::Old;
+        }
+        let done_ms = u64::from_str_radix(checkpoint, 16).unwrap_or(0);
+        let saved = checkpoint.to_owned();
+        self.running.insert(task, Running { run, need, done_ms, saved, stop_ms: None });
+        self.starts.push((task, run));
+        StartAnswer::Started
+    }
+
+    fn end(&mut self, task: Task, ending: Ending) {
+        if let Some(own) = self.running.remove(&task) {
+            self.next_end += 1;
+            self.finished.push((self.next_end, task, own.run, ending, own.saved));
+            let over = self.over.entry(task).or_default();
+            *over = (*over).max(own.run);
+        }
+    }
+
+    fn extend(&mut self, deadline_ms: u64) {
+        let longest_ms = u64::try_from(super::LONGEST_LEASE.as_millis()).unwrap_or(0);
+        let most = self.clock_ms() + longest_ms;
+        self.deadline_ms = self.deadline_ms.max(deadline_ms.min(most));
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.true_ms * CLOCK_PERCENT / 100
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform, workers, targets and callers, each with fault switches.
 
 pub mod caller;
+pub mod cell;
 pub mod fault;
 pub mod gang;
 pub mod object;
