--- a/persimmondrift/tests/cell_losses.rs
+++ b/persimmondrift/tests/cell_losses.rs
@@ -64,7 +64,7 @@
     cell.worker(holder).trouble = Trouble::Hangs;
     cell.cut(holder, true);
     // The other worker gets the task, and not before this one is empty.
-    cell.run(LONGEST_LEASE - Duration::from_secs(1));
+    cell.run(LONGEST_LEASE.saturating_sub(Duration::from_secs(1)));
     assert!(cell.running(1 - holder).is_empty(), "the lease may still be in force");
     assert!(completes(&mut cell, Id(1)));
     assert_eq!(cell.faults, Vec::<String>::new());
