--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -282,10 +282,16 @@
 fn recover(shared: &Shared) -> Option<Version> {
     while !shared.stopping() {
         let read = || -> Result<Version, Error> {
-            let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
+            let reports = (shared.store.scan)(Table::Workers, "", "")?;
+            let others = reports.rows.iter().filter_map(|row| {
+                let other: Worker = record::decode(row.value.as_deref()?)?;
+                Some(other.peer)
+            });
+            let others: Vec<String> = others.collect();
+            (shared.store.meet)(&others.iter().map(String::as_str).collect::<Vec<_>>());
+            let row = reports.rows.iter().find(|row| row.key == shared.identity.agent);
             let role = shared.store.get(Table::Jobs, ROLE_KEY)?;
-            let last: Option<Worker> =
-                row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+            let last: Option<Worker> = row.and_then(|row| record::decode(row.value.as_deref()?));
             let role: Option<Role> = role.and_then(|row| record::decode(row.value.as_deref()?));
             {
                 let mut state = shared.lock();
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -198,6 +198,8 @@
                     version = Some(snapshot.version);
                 }
                 cell.read.store(clock::now().0, Ordering::Relaxed);
+                let peers: Vec<&str> = workers.iter().map(|(_, _, worker)| &*worker.peer).collect();
+                (shared.store.meet)(&peers);
                 drop(workers);
                 shared.lock().changes += 1;
                 shared.changed.notify_all();
--- a/persimmondrift/src/cell/table.rs
+++ b/persimmondrift/src/cell/table.rs
@@ -110,6 +110,8 @@
 /// Waits for rows of a table that changed after a version.
 pub type WatchCall = dyn Fn(Table, Version, Duration) -> Result<Snapshot, Error> + Send + Sync;
 
+/// Takes note of processes, as `IP:PORT`, that may pass calls on to the store.
+pub type MeetCall = dyn Fn(&[&str]) + Send + Sync;
 /// Returns whether all calls have failed for a while.
 pub type AwayCall = dyn Fn() -> bool + Send + Sync;
 
@@ -121,6 +123,8 @@
     pub scan: Box<ScanCall>,
     /// Waits for changed rows. A watch may miss changes for a while, so silence proves nothing.
     pub watch: Box<WatchCall>,
+    /// Takes note of processes, as `IP:PORT`, that may pass calls on to the store.
+    pub meet: Box<MeetCall>,
     /// Returns whether all calls have failed for a while.
     pub away: Box<AwayCall>,
 }
--- a/persimmondrift/src/daemon.rs
+++ b/persimmondrift/src/daemon.rs
@@ -78,7 +78,15 @@
             let settings = settings::read::<S>(&file)?;
             let process = process(&settings);
             log::open(&process)?;
-            serve(&process, || start(settings), failed, stop)
+            let text = std::fs::read_to_string(&file).ok();
+            let reload = || match settings::read::<S>(&file) {
+                Ok(_) => {
+                    let differs = std::fs::read_to_string(&file).ok() != text;
+                    crate::log!(Reloaded, "valid=true differs={differs}");
+                }
+                Err(error) => crate::warn!(Reloaded, "valid=false error=\"{error}\""),
+            };
+            serve(&process, reload, || start(settings), failed, stop)
         }
     });
     let code = result.unwrap_or_else(|error| {
@@ -134,6 +142,7 @@
 /// Starts, waits for a signal or a panic, and stops.
 fn serve<H: Send + 'static>(
     process: &Process,
+    reload: impl Fn(),
     start: impl FnOnce() -> io::Result<H>,
     failed: impl Fn(&H) -> bool,
     stop: impl FnOnce(H, &Process) + Send + 'static,
@@ -144,8 +153,8 @@
         flag::register_conditional_shutdown(signal, EXIT_START.into(), Arc::clone(&asked))?;
         flag::register(signal, Arc::clone(&asked))?;
     }
-    // Says that the settings file has changed; what it names is read again at the next start.
-    flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
+    let changed = Arc::new(AtomicBool::new(false));
+    flag::register(SIGHUP, Arc::clone(&changed))?;
     let panicked = watch_panics();
     let handle = start()?;
     while !asked.load(Ordering::Relaxed) {
@@ -153,6 +162,9 @@
         if panicked.load(Ordering::Relaxed) || failed(&handle) {
             return Ok(ExitCode::from(EXIT_PANIC));
         }
+        if changed.swap(false, Ordering::Relaxed) {
+            reload();
+        }
         thread::sleep(POLL);
     }
     let limit = process.notice.0 + process.drain.0;
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -26,6 +26,8 @@
     SettingsRefused = 103,
     /// A thread ended by a panic; the process ends.
     Panicked = 104,
+    /// The settings file was read again.
+    Reloaded = 105,
     /// A frame is malformed or over its bound.
     FrameRefused = 110,
     /// A request of a caller is malformed or over its bound.
--- a/persimmondrift/src/metric.rs
+++ b/persimmondrift/src/metric.rs
@@ -1,4 +1,4 @@
-//! Metrics of the daemons. Names and units are listed in `docs/OPERATING.md`.
+//! Metrics of the daemons. Names and units are listed in `docs/OPERATIONS.md`.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -8,6 +8,7 @@
     TextEncoder,
 };
 
+use crate::cell::table as cell;
 use crate::event::{ALL, Event};
 use crate::gang::Ending;
 use crate::place::Class;
@@ -217,6 +218,78 @@
     }
 }
 
+/// Metrics of a process of a cell.
+#[derive(Debug)]
+pub struct Cell {
+    registry: Registry,
+    requests: HistogramVec,
+    store: HistogramVec,
+}
+
+impl Default for Cell {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: histograms(&registry, REQUEST_SECONDS, &["outcome", "class"]),
+            store: histograms(&registry, STORE_SECONDS, &["call", "outcome"]),
+            registry,
+        }
+    }
+}
+
+impl Cell {
+    /// Counts a call of a caller by its status and its method.
+    pub fn request(&self, status: u16, method: &str, took: Duration) {
+        let status = status.to_string();
+        self.requests.with_label_values(&[&*status, method]).observe(took.as_secs_f64());
+    }
+
+    /// Returns calls of the store that are counted and timed.
+    #[must_use]
+    pub fn watch_store(&self, calls: cell::Calls) -> cell::Calls {
+        let cell::Calls { commit, scan, watch, meet, away } = calls;
+        let (commits, scans, watches) =
+            (self.store.clone(), self.store.clone(), self.store.clone());
+        cell::Calls {
+            commit: Box::new(move |batch, timeout| {
+                timed_call(&commits, "commit", || commit(batch, timeout))
+            }),
+            scan: Box::new(move |table, from, to| {
+                timed_call(&scans, "scan", || scan(table, from, to))
+            }),
+            watch: Box::new(move |table, after, wait| {
+                timed_call(&watches, "watch", || watch(table, after, wait))
+            }),
+            meet,
+            away,
+        }
+    }
+
+    /// Writes the metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn render(&self) -> String {
+        render(&self.registry)
+    }
+}
+
+fn timed_call<T>(
+    times: &HistogramVec,
+    call: &str,
+    run: impl FnOnce() -> Result<T, cell::Error>,
+) -> Result<T, cell::Error> {
+    let begin = Instant::now();
+    let result = run();
+    let outcome = match &result {
+        Ok(_) => "ok",
+        Err(cell::Error::NotDone) => "not-done",
+        Err(cell::Error::NoAnswer) => "no-answer",
+        Err(cell::Error::Compacted) => "compacted",
+        Err(cell::Error::Malformed) => "malformed",
+    };
+    times.with_label_values(&[call, outcome]).observe(begin.elapsed().as_secs_f64());
+    result
+}
+
 /// Returns a count as the value of a gauge.
 #[must_use]
 pub fn value(count: impl TryInto<i64>) -> i64 {
--- a/persimmondrift/tests/job_intake.rs
+++ b/persimmondrift/tests/job_intake.rs
@@ -59,6 +59,7 @@
             Ok(snapshot)
         }),
         watch: Box::new(|_, _, _| Ok(Snapshot::default())),
+        meet: Box::new(|_| {}),
         away: Box::new(move || away),
     };
     Store { rows, held, sends, calls }
--- a/persimmondrift/tests/metric_names.rs
+++ b/persimmondrift/tests/metric_names.rs
@@ -7,7 +7,7 @@
 use persimmondrift::place::Class;
 use persimmondrift::store::{Calls, Error, Outcome};
 
-const PAGE: &str = include_str!("../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
 
 #[test]
 fn page_matches_code() {
