--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -150,6 +150,10 @@
         }
         let attempts = queue_of(input.config, job).attempts;
         let progress = draft.progress(group.job, request);
+        if progress.state == State::Completed {
+            // The other members of a gang end by themselves.
+            return None;
+        }
         if progress.state.is_final() || progress.is_spent(request, attempts) {
             return Some(Cause::JobOver);
         }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -447,7 +447,8 @@
             let id = group.task(task.index);
             let running = worker.running.iter().find(|run| run.task == id);
             let percent = u64::from(running.map_or(0, |running| running.percent));
-            let loss = loss(step, percent);
+            // Work that was moved before is moved again last.
+            let loss = loss(step, percent) * u64::from(task.run);
             victims.push(Victim { task: id, room: step.claim(), loss });
         }
     }
