--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -18,6 +18,11 @@
 /// Slack of a job below which it may take room from less urgent ones, in milliseconds: a stop, the
 /// ways across regions, and the declared times that are off.
 const URGENT_SLACK_MS: i64 = 2_500;
+/// Slack of a job above which it leaves empty workers to urgent ones, in milliseconds: longer than
+/// a short task runs.
+const RELAXED_SLACK_MS: i64 = 6_000;
+/// One worker of so many is kept empty for urgent work.
+const KEPT_SHARE: usize = 6;
 /// Most work that may be lost for a group, as a share of its own work in percent.
 const LOSS_PERCENT: u64 = 60;
 /// Time that a task loses when it goes on from its checkpoint, in milliseconds: its restart.
@@ -70,11 +75,9 @@
         let count = u32::try_from(waits(draft)).unwrap_or(u32::MAX);
         let taken = taken(draft, pool, group);
         let barred = self.barred(pool, group);
-        let room: Vec<Room> = pool
-            .slots
-            .iter()
-            .zip(&barred)
-            .map(|(slot, barred)| if *barred { Room::default() } else { slot.free })
+        let kept = kept_empty(pool, &waiting.claim);
+        let room: Vec<Room> = (0..pool.slots.len())
+            .map(|i| if barred[i] || kept[i] { Room::default() } else { pool.slots[i].free })
             .collect();
         let demand = Demand { step, count };
         let places = pack::place(&pool.slots, demand, |i| room[i], |i| taken[i]);
@@ -298,6 +301,25 @@
     draft.add_order(key, Order { epoch: input.epoch, life, need, spec, tasks });
 }
 
+/// Returns which empty workers are kept for urgent work that may come. Answers wide urgent tasks
+/// on a busy cell: otherwise each of them would stop many narrow ones. Work with time to spare
+/// waits for other room, but not while more than half of the cell is idle.
+fn kept_empty(pool: &Pool, claim: &Claim) -> Vec<bool> {
+    let mut kept = vec![false; pool.slots.len()];
+    let all: u32 = pool.slots.iter().map(|slot| slot.capacity.accelerators).sum();
+    let free: u32 = pool.slots.iter().map(|slot| slot.free.accelerators).sum();
+    let relaxed = claim.priority > 0 && !claim.guaranteed && claim.slack_ms > RELAXED_SLACK_MS;
+    if !relaxed || 2 * free > all {
+        return kept;
+    }
+    let most = pool.slots.len().div_ceil(KEPT_SHARE);
+    let empty = |i: &usize| pool.slots[*i].free == pool.slots[*i].capacity;
+    for index in (0..pool.slots.len()).filter(empty).take(most) {
+        kept[index] = true;
+    }
+    kept
+}
+
 /// Returns whether a group may take room from others: under a guarantee, or because it would
 /// miss its objective if it waited for a stop any longer.
 fn may_reclaim(claim: &Claim) -> bool {
--- a/persimmondrift/tests/guarantee_room.rs
+++ b/persimmondrift/tests/guarantee_room.rs
@@ -42,6 +42,23 @@
     }
 }
 
+#[test]
+fn empty_worker_kept() {
+    let mut cell = Cell::new(4);
+    cell.run(Duration::from_secs(2));
+    // Two and a half of four workers are busy, and what comes next has time to spare.
+    cell.submit(Id(1), "low", "luis", request(20, 1, false));
+    cell.run(Duration::from_millis(300));
+    cell.submit(Id(2), "low", "luis", request(12, 1, false));
+    cell.run(Duration::from_millis(300));
+    let busy = cell.starts(Id(1)) + cell.starts(Id(2));
+    assert_eq!(busy, 24, "an empty worker is left to urgent work");
+    cell.submit(Id(3), "urgent", "ana", request(1, 8, false));
+    cell.run(Duration::from_millis(300));
+    assert_eq!(cell.starts(Id(3)), 1, "it starts at once");
+    assert_eq!((0..4).map(|vm| cell.running(vm).len()).sum::<usize>(), 25, "nothing was stopped");
+}
+
 #[test]
 fn beyond_guarantee_waits() {
     let mut cell = Cell::new(2);
