Keep what callers wait for in a part of its own, and end an agent's session by a mark

Change: accepted jobs and reports leave the planner's part. So the end of an agent's session is no longer written with the role; it is a mark on the report, made once its last grant has run out.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -224,10 +224,9 @@
 /// Writes reports. The first one comes after the last process's report and orders were read.
 fn report_loop(shared: &Shared) {
     let boot = fastrand::u64(1..);
-    let Some(version) = recover(shared) else {
+    let Some(mut reporter) = recover(shared, boot) else {
         return;
     };
-    let mut reporter = Reporter::new(&shared.identity.agent, boot, version);
     let mut last = Time(0);
     loop {
         let mut state = shared.lock();
@@ -252,12 +251,15 @@
         drop(state);
         last = sent;
         let outcome = (shared.store.commit)(&reporter.batch(worker), CALL_TIMEOUT);
-        let granted = match outcome.as_ref().map(|outcome| reporter.answered(outcome)) {
+        let next = fastrand::u64(1..);
+        let granted = match outcome.as_ref().map(|outcome| reporter.answered(outcome, next)) {
             Ok(Answer::Granted) => true,
             Ok(Answer::Reread) => shared.scan_orders().is_ok(),
             Ok(Answer::GivenUp) => {
-                warn!(GivenUp, "version={}", reporter.version());
-                shared.lock().urgent = true;
+                warn!(GivenUp, "version={} session={}", reporter.version(), reporter.session());
+                let mut state = shared.lock();
+                state.duty.begin_session(reporter.session());
+                state.urgent = true;
                 continue;
             }
             Ok(Answer::Again) => {
@@ -278,35 +280,34 @@
     }
 }
 
-/// Reads what the last process left behind. Returns the version of its report.
-fn recover(shared: &Shared) -> Option<Version> {
+/// Reads what the last process left behind.
+fn recover(shared: &Shared, boot: u64) -> Option<Reporter> {
     while !shared.stopping() {
-        let read = || -> Result<Version, Error> {
-            let reports = (shared.store.scan)(Table::Workers, "", "")?;
-            let others = reports.rows.iter().filter_map(|row| {
-                let other: Worker = record::decode(row.value.as_deref()?)?;
-                Some(other.peer)
-            });
-            let others: Vec<String> = others.collect();
-            (shared.store.meet)(&others.iter().map(String::as_str).collect::<Vec<_>>());
-            let row = reports.rows.iter().find(|row| row.key == shared.identity.agent);
+        let read = || -> Result<Reporter, Error> {
+            let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
             let role = shared.store.get(Table::Jobs, ROLE_KEY)?;
-            let last: Option<Worker> = row.and_then(|row| record::decode(row.value.as_deref()?));
+            let last: Option<Worker> =
+                row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
             let role: Option<Role> = role.and_then(|row| record::decode(row.value.as_deref()?));
+            let version = row.as_ref().map_or(Version(0), |row| row.version);
+            let agent = &shared.identity.agent;
+            let reporter = Reporter::new(agent, boot, version, last.as_ref());
             {
                 let mut state = shared.lock();
-                state.duty = Duty::new(&shared.identity.agent, last.as_ref());
+                state.duty = Duty::new(agent, last.as_ref());
+                state.duty.begin_session(reporter.session());
                 state.duty.fence(role.map_or(Epoch(1), |role| role.epoch));
             }
             shared.scan_orders()?;
-            Ok(row.map_or(Version(0), |row| row.version))
+            Ok(reporter)
         };
         match read() {
-            Ok(version) => {
+            Ok(reporter) => {
                 let mut state = shared.lock();
                 state.ready = true;
-                log!(Recovered, "report={version} life={}", state.duty.life());
-                return Some(version);
+                let (report, session) = (reporter.version(), reporter.session());
+                log!(Recovered, "report={report} session={session} life={}", state.duty.life());
+                return Some(reporter);
             }
             Err(_) => thread::sleep(RETRY_PAUSE),
         }
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -113,6 +113,8 @@
     drained_by: Option<Time>,
     /// The life that the runs belong to.
     life: Life,
+    /// The session that orders have to be for.
+    session: u64,
     orders: Mirror<Order>,
     /// Runs that an earlier process may have started; nothing before the first look at the orders.
     inherited: Option<BTreeSet<(Task, u32)>>,
@@ -146,6 +148,7 @@
             announced: None,
             drained_by: None,
             life: last.map(|last| last.life.clone()).unwrap_or_default(),
+            session: 0,
             orders: Mirror::default(),
             inherited: None,
             saved: saved.collect(),
@@ -162,6 +165,14 @@
         }
     }
 
+    /// Begins a session. What was ordered in an earlier one is stopped, if it still runs.
+    pub fn begin_session(&mut self, session: u64) {
+        if session != self.session {
+            self.session = session;
+            self.sync();
+        }
+    }
+
     /// Takes in what the worker says of itself. A late word of an earlier life, or one that a
     /// later one has overtaken, changes nothing. Returns whether the planner should know at once.
     pub fn heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> bool {
@@ -455,8 +466,11 @@
         self.sync();
     }
 
-    /// Brings the runs in line with the orders.
+    /// Brings the runs in line with the orders, once they are known.
     fn sync(&mut self) {
+        if self.inherited.is_none() {
+            return;
+        }
         let draining = self.announced.as_ref().is_some_and(|worker| worker.draining);
         let wanted = wanted(&self.orders);
         let inherited = self.inherited.as_ref();
@@ -466,7 +480,8 @@
         self.ends.retain(|end| wanted.contains_key(&(end.task, end.run)));
         for (key, (order, task)) in &wanted {
             let ended = self.ends.iter().any(|end| (end.task, end.run) == *key);
-            if order.life != self.life || self.life.id.is_empty() || ended {
+            let current = order.life == self.life && order.session == self.session;
+            if !current || self.life.id.is_empty() || ended {
                 continue;
             }
             let begun = inherited.is_some_and(|keys| keys.contains(key));
@@ -476,7 +491,8 @@
             run.adopt(order, task);
         }
         for (key, run) in &mut self.runs {
-            if !wanted.contains_key(key) {
+            let order = wanted.get(key).map(|(order, _)| order);
+            if order.is_none_or(|order| order.session != self.session) {
                 run.stop = true;
             }
         }
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -11,7 +11,7 @@
 use crate::cell::planner::{Input, Note, Plan, Planner};
 use crate::cell::record::{Order, Worker};
 use crate::cell::role::{RENEWAL, Settled, Term};
-use crate::cell::table::{CALL_TIMEOUT, Error, Row, Table};
+use crate::cell::table::{Batch, CALL_TIMEOUT, Error, Outcome, Row, Table, Write};
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
@@ -21,8 +21,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Longest wait for reports in one call.
 const REPORT_WAIT: Duration = Duration::from_millis(900);
-/// Pause after a round whose condition on a report failed, until the newer report is here.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What the planner of a term knows beside the jobs.
 struct Cell {
@@ -72,7 +70,7 @@
 /// Tries to take the role.
 fn take(shared: &Shared, version: Version, epoch: Epoch) -> Option<Term> {
     let mut term = Term::new(version, epoch);
-    write(shared, &mut term, &shared.settings.name, Plan::default()).ok()?;
+    write(shared, &mut term, &shared.settings.name, Vec::new()).ok()?;
     Some(term)
 }
 
@@ -114,41 +112,34 @@
             jobs: &state.jobs,
             orders: &orders,
             workers: &workers,
-            reports_read: Time(cell.read.load(Ordering::Relaxed)),
+            reports_read: Some(Time(cell.read.load(Ordering::Relaxed))),
             epoch,
         });
         drop(workers);
         drop(state);
-        if plan.writes.is_empty() && clock::now().since(renewed) < RENEWAL {
+        if plan.writes.is_empty() && plan.marks.is_empty() && clock::now().since(renewed) < RENEWAL
+        {
             continue;
         }
         let sent = clock::now();
-        let notes = plan.notes.clone();
-        match write(shared, &mut term, &shared.settings.name, plan) {
-            Ok(rows) => {
-                renewed = sent;
-                for note in &notes {
-                    tell(note, epoch);
-                }
-                let mut workers = cell.lock();
-                for row in &rows {
-                    match row.table {
-                        Table::Orders => orders.apply(row),
-                        Table::Workers => workers.apply(row),
-                        _ => false,
-                    };
-                }
-                drop(workers);
-                orders.prune(term.version);
-            }
-            Err(Unwritten::Conflict) => thread::sleep(CONFLICT_PAUSE),
-            Err(Unwritten::Lost) => break,
+        let Plan { writes, marks, notes } = plan;
+        let Ok(rows) = write(shared, &mut term, &shared.settings.name, writes) else {
+            break;
+        };
+        renewed = sent;
+        for note in &notes {
+            tell(note, epoch);
+        }
+        for row in rows.iter().filter(|row| row.table == Table::Orders) {
+            orders.apply(row);
         }
+        orders.prune(term.version);
+        mark(shared, &cell, marks);
     }
     cell.over.store(true, Ordering::Relaxed);
     if shared.stopping() {
         // Another entry may take over at once.
-        let _ = write(shared, &mut term, "", Plan::default());
+        let _ = write(shared, &mut term, "", Vec::new());
     }
 }
 
@@ -163,6 +154,7 @@
                 over: AtomicBool::new(false),
             };
             cell.orders.reset(&(shared.store.scan)(Table::Orders, "", "")?);
+            cell.lock().reset(&(shared.store.scan)(Table::Workers, "", "")?);
             shared.load_jobs()?;
             Ok(cell)
         };
@@ -170,7 +162,7 @@
             return Some(cell);
         }
         thread::sleep(RETRY_PAUSE);
-        write(shared, term, &shared.settings.name, Plan::default()).ok()?;
+        write(shared, term, &shared.settings.name, Vec::new()).ok()?;
     }
     None
 }
@@ -210,23 +202,18 @@
     }
 }
 
-/// Why a round is not written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Unwritten {
-    /// A report is newer than the round; the next round sees it.
-    Conflict,
-    /// The role is held by another entry, or was given back.
-    Lost,
-}
+/// The role is held by another entry, or was given back.
+#[derive(Debug)]
+struct Lost;
 
-/// Writes a round, and returns its rows. The same batch is sent until its fate is known.
+/// Writes rows, and returns them. The same batch is sent until its fate is known.
 fn write(
     shared: &Shared,
     term: &mut Term,
     holder: &str,
-    plan: Plan,
-) -> Result<Vec<Row>, Unwritten> {
-    let batch = term.seal(holder, fastrand::u64(1..), plan.conditions, plan.writes);
+    writes: Vec<Write>,
+) -> Result<Vec<Row>, Lost> {
+    let batch = term.seal(holder, fastrand::u64(1..), writes);
     loop {
         match (shared.store.commit)(&batch, CALL_TIMEOUT) {
             Ok(outcome) => {
@@ -235,17 +222,28 @@
                         shared.apply(&rows);
                         Ok(rows)
                     }
-                    Settled::Conflict => Err(Unwritten::Conflict),
-                    Settled::Lost => Err(Unwritten::Lost),
+                    Settled::Lost => Err(Lost),
                 };
             }
             // Nobody waits for a role that is given back.
-            Err(_) if holder.is_empty() => return Err(Unwritten::Lost),
+            Err(_) if holder.is_empty() => return Err(Lost),
             Err(_) => thread::sleep(RETRY_PAUSE),
         }
     }
 }
 
+/// Writes the marks of silent agents. One whose answer is lost is found out by the next watch.
+fn mark(shared: &Shared, cell: &Cell, marks: Vec<Batch>) {
+    for batch in marks {
+        if let Ok(Outcome::Applied(version)) = (shared.store.commit)(&batch, CALL_TIMEOUT) {
+            let mut workers = cell.lock();
+            for Write { table, key, value } in batch.writes {
+                workers.apply(&Row { table, key, version, value });
+            }
+        }
+    }
+}
+
 /// Logs a decision.
 fn tell(note: &Note, epoch: Epoch) {
     match note {
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -18,7 +18,7 @@
 use super::job::{Group, Id, Request, Task};
 use super::mirror::{Jobs, Mirror};
 use super::record::{Job, Order, Worker};
-use super::table::{Condition, Write};
+use super::table::{Batch, Write};
 use crate::unit::{Epoch, Time, Version};
 
 pub use draft::ENTRIES_MOST;
@@ -38,8 +38,8 @@
     pub orders: &'a Mirror<Order>,
     /// Reports of the agents.
     pub workers: &'a Mirror<Worker>,
-    /// When the last successful read of the reports came back.
-    pub reports_read: Time,
+    /// When the last successful read of the reports came back; nothing if none has been read.
+    pub reports_read: Option<Time>,
     /// The epoch of this planner.
     pub epoch: Epoch,
 }
@@ -104,14 +104,14 @@
         /// Time since the job was accepted, in milliseconds.
         after_ms: u64,
     },
-    /// An agent fell silent and was given up, until its next report.
+    /// The grant of a silent agent has run out, and its session is ended.
     Revoked {
         /// The agent.
         agent: String,
         /// Time since its last report, in milliseconds.
         silent_ms: u64,
     },
-    /// The grant of an agent that was given up has lapsed.
+    /// An agent that stayed silent is forgotten.
     Removed {
         /// The agent.
         agent: String,
@@ -140,10 +140,10 @@
 /// A round's result.
 #[derive(Debug, Default)]
 pub struct Plan {
-    /// What must hold, beside the planner's role.
-    pub conditions: Vec<Condition>,
-    /// What is written.
+    /// What is written on condition of the planner's role.
     pub writes: Vec<Write>,
+    /// Batches of their own, on condition of an agent's report. They hold whoever plans.
+    pub marks: Vec<Batch>,
     /// The decisions.
     pub notes: Vec<Note>,
 }
@@ -183,12 +183,16 @@
     /// Plans a round.
     #[must_use]
     pub fn plan(&mut self, input: Input<'_>) -> Plan {
-        self.listen(&input);
+        let Some(read) = input.reports_read else {
+            // An agent whose report was not read yet looks like one that is gone.
+            return Plan::default();
+        };
+        self.listen(&input, read);
         let mut draft = draft::Draft::new(input);
         self.fold(&mut draft);
         self.interrupt(&mut draft);
         self.conclude(&mut draft);
-        self.give_up(&mut draft);
+        self.give_up(&mut draft, read);
         self.assign(&mut draft);
         draft.finish()
     }
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -5,7 +5,7 @@
 use super::{Input, Note, Plan, request_of};
 use crate::cell::job::{Group, Id, Request};
 use crate::cell::record::{self, Order, Progress};
-use crate::cell::table::{Condition, Table, Write};
+use crate::cell::table::{Table, Write};
 
 /// Most entries of a batch, conditions included; the store takes 100.
 pub const ENTRIES_MOST: usize = 90;
@@ -49,12 +49,8 @@
     /// Returns how many more entries the batch takes.
     pub fn left(&self) -> usize {
         // The role row is a condition and a write.
-        let used = self.changed_orders.len()
-            + self.changed_progress.len()
-            + 2 * self.forgotten.len()
-            + self.plan.conditions.len()
-            + self.plan.writes.len()
-            + 2;
+        let used =
+            self.changed_orders.len() + self.changed_progress.len() + 2 * self.forgotten.len() + 2;
         ENTRIES_MOST.saturating_sub(used)
     }
 
@@ -108,13 +104,6 @@
         self.plan
     }
 
-    /// Adds a condition, once.
-    pub fn require(&mut self, condition: Condition) {
-        if !self.plan.conditions.contains(&condition) {
-            self.plan.conditions.push(condition);
-        }
-    }
-
     /// Adds a decision for the log.
     pub fn note(&mut self, note: Note) {
         self.plan.notes.push(note);
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -6,7 +6,6 @@
 use super::{Cause, Note, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::record::{Condition as Readiness, End, Ending, Order, Phase, State, Worker};
-use crate::cell::table::{Condition, Table};
 
 /// Least time without progress after which a task is stopped. Longer than a restart from a
 /// checkpoint and the time between two reports.
@@ -48,7 +47,7 @@
     }
 
     /// Returns the ends of the runs of an order.
-    fn ends(&self, draft: &mut Draft<'_>, key: &OrderKey) -> Vec<End> {
+    fn ends(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<End> {
         let (agent, group) = key;
         let order = &draft.orders[key];
         let input = draft.input;
@@ -56,7 +55,7 @@
         let fate = match worker {
             None => Fate::Over,
             Some(worker) if worker.life != order.life => Fate::Over,
-            Some(worker) if self.has_lapsed(&input, agent, worker) => Fate::Over,
+            Some(worker) if worker.session != order.session || worker.revoked => Fate::Over,
             Some(_) => Fate::Reported,
         };
         let mut ends = reported(order, *group, worker);
@@ -65,9 +64,6 @@
             let listed: Vec<u16> = ends.iter().map(|end| end.task.index).collect();
             let unlisted = self.lapsed(order, *group).into_iter();
             ends.extend(unlisted.filter(|end| !listed.contains(&end.task.index)));
-            // The agent may report again in the meantime; then its runs have not lapsed.
-            let version = input.workers.version(agent);
-            draft.require(Condition { table: Table::Workers, key: agent.clone(), version });
         }
         ends
     }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -288,7 +288,10 @@
 /// Adds tasks to the orders of an agent for a group.
 fn add(draft: &mut Draft<'_>, key: OrderKey, request: &Request, tasks: Vec<OrderTask>) {
     let input = draft.input;
-    let life = input.workers.get(&key.0).map(|worker| worker.life.clone()).unwrap_or_default();
+    let Some(worker) = input.workers.get(&key.0) else {
+        return;
+    };
+    let (life, session) = (worker.life.clone(), worker.session);
     if draft.orders.get(&key).is_some_and(|order| !order.tasks.is_empty())
         && let Some(order) = draft.change_order(&key)
     {
@@ -298,7 +301,7 @@
     }
     let need = request.steps[usize::from(key.1.step)].claim();
     let spec = request.spec.clone();
-    draft.add_order(key, Order { epoch: input.epoch, life, need, spec, tasks });
+    draft.add_order(key, Order { epoch: input.epoch, life, session, need, spec, tasks });
 }
 
 /// Returns which empty workers are kept for urgent work that may come. Answers wide urgent tasks
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -176,14 +176,16 @@
 
 /// The tasks of one group that one agent is told to run. Written by the planner.
 ///
-/// The row goes when all its runs have ended by the agent's report, when the worker's life is
-/// over, or when the agent's lease has lapsed.
+/// The row goes when all its runs have ended by the agent's report, or when the worker's life or
+/// the agent's session is over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// The planner that wrote it.
     pub epoch: Epoch,
     /// The life of the worker that it is for.
     pub life: Life,
+    /// The session of the agent that it is for.
+    pub session: u64,
     /// What each task needs.
     pub need: Room,
     /// Text that each task is started with.
@@ -297,7 +299,10 @@
     pub running: Vec<Running>,
     /// Ends that the planner has not taken in.
     pub ends: Vec<End>,
-    /// Whether the planner has given the agent up; the agent's next report takes it back.
+    /// The agent's session: as long as its reports were renewed in time. What was ordered in an
+    /// earlier session is over.
+    pub session: u64,
+    /// Whether the planner has ended the session, since its last grant has run out.
     pub revoked: bool,
 }
 
--- a/persimmondrift/src/cell/report.rs
+++ b/persimmondrift/src/cell/report.rs
@@ -1,8 +1,8 @@
 //! An agent's reports: what is written, and what the store's answer means for the agent.
 //!
 //! A report is on condition that the row is as the agent left it. When it is not, the planner has
-//! given the agent up in the meantime; then orders have to be read again before the next grant
-//! counts, since they may have gone to others.
+//! ended the agent's session in the meantime: what was ordered before is over, and a new session
+//! begins with the next report.
 
 use super::record::{self, Worker};
 use super::table::{Batch, Condition, Outcome, Table, Write};
@@ -15,7 +15,7 @@
     Granted,
     /// The report is stored; the grant counts once the orders were read again.
     Reread,
-    /// The planner had given the agent up; the report has to be sent again.
+    /// The planner has ended the session; the report has to be sent again in a new one.
     GivenUp,
     /// An earlier report was stored after all; the report has to be sent again.
     Again,
@@ -28,20 +28,31 @@
     boot: u64,
     sequence: u64,
     version: Version,
+    session: u64,
     reread: bool,
 }
 
 impl Reporter {
-    /// Creates a reporter of a process that found its agent's report at a version.
+    /// Creates a reporter of a process that found its agent's report at a version. A session that
+    /// was not ended goes on.
     #[must_use]
-    pub fn new(agent: &str, boot: u64, version: Version) -> Self {
-        Self { agent: agent.to_owned(), boot, sequence: 0, version, reread: false }
+    pub fn new(agent: &str, boot: u64, version: Version, last: Option<&Worker>) -> Self {
+        let open = last.filter(|last| !last.revoked);
+        let session = open.map_or(boot, |last| last.session);
+        Self { agent: agent.to_owned(), boot, sequence: 0, version, session, reread: false }
+    }
+
+    /// Returns the session that orders have to be for.
+    #[must_use]
+    pub fn session(&self) -> u64 {
+        self.session
     }
 
     /// Returns the batch that stores a report.
     pub fn batch(&mut self, report: Worker) -> Batch {
         self.sequence += 1;
-        let report = Worker { boot: self.boot, sequence: self.sequence, ..report };
+        let (boot, session, sequence) = (self.boot, self.session, self.sequence);
+        let report = Worker { boot, sequence, session, ..report };
         let (table, key) = (Table::Workers, self.agent.clone());
         let value = Some(record::encode(&report));
         Batch {
@@ -50,8 +61,9 @@
         }
     }
 
-    /// Takes in the store's answer.
-    pub fn answered(&mut self, outcome: &Outcome) -> Answer {
+    /// Takes in the store's answer. `next_session` names the session that begins if this one was
+    /// ended.
+    pub fn answered(&mut self, outcome: &Outcome, next_session: u64) -> Answer {
         match outcome {
             Outcome::Applied(version) => {
                 self.version = *version;
@@ -66,6 +78,7 @@
                     return Answer::Again;
                 }
                 self.reread = true;
+                self.session = next_session;
                 Answer::GivenUp
             }
         }
--- a/persimmondrift/src/cell/role.rs
+++ b/persimmondrift/src/cell/role.rs
@@ -58,8 +58,6 @@
 pub enum Settled {
     /// It was applied; these are its rows.
     Applied(Vec<Row>),
-    /// Another condition than that of the role failed.
-    Conflict,
     /// Another entry holds the role.
     Lost,
 }
@@ -82,19 +80,14 @@
         Self { version, epoch, tag: 0 }
     }
 
-    /// Turns conditions and writes into a batch of the holder. The batch is sent, unchanged, until
-    /// it is settled: it can take effect only once.
-    pub fn seal(
-        &mut self,
-        holder: &str,
-        tag: u64,
-        mut conditions: Vec<Condition>,
-        mut writes: Vec<Write>,
-    ) -> Batch {
+    /// Turns writes into a batch of the holder. The batch is sent, unchanged, until it is settled: it
+    /// can take effect only once.
+    pub fn seal(&mut self, holder: &str, tag: u64, mut writes: Vec<Write>) -> Batch {
         self.tag = tag;
         let role = Role { holder: holder.to_owned(), epoch: self.epoch, tag };
         let key = ROLE_KEY.to_owned();
-        conditions.push(Condition { table: Table::Jobs, key: key.clone(), version: self.version });
+        let conditions =
+            vec![Condition { table: Table::Jobs, key: key.clone(), version: self.version }];
         writes.push(Write { table: Table::Jobs, key, value: Some(record::encode(&role)) });
         Batch { conditions, writes }
     }
@@ -109,7 +102,7 @@
                 let version = row.map_or(Version(0), |row| row.version);
                 // An earlier send may have been applied, and its answer lost.
                 if found.is_none_or(|found| found.tag != self.tag) {
-                    return if version == self.version { Settled::Conflict } else { Settled::Lost };
+                    return Settled::Lost;
                 }
                 version
             }
--- a/persimmondrift/src/cell/table.rs
+++ b/persimmondrift/src/cell/table.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::record::JOB_PREFIX;
 use crate::unit::Version;
 
 /// Time given to one call of the store. A call takes 70 ms across regions.
@@ -22,6 +23,54 @@
     Status,
 }
 
+/// Partitions of accepted jobs. The store writes each partition one after the other, and a slow
+/// one takes a few writes a second, so that what callers wait for is kept apart from the rest. Few,
+/// since a planner that takes over reads them one by one.
+const JOB_PARTITIONS: u64 = 1;
+/// Partitions of the agents' reports.
+const REPORT_PARTITIONS: u64 = 2;
+
+/// Rows that may be written together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Partition {
+    /// What operators and platform share with the system.
+    Shared,
+    /// What the planner writes.
+    Planner,
+    /// Some of the accepted jobs.
+    Jobs(u64),
+    /// Some of the reports.
+    Reports(u64),
+}
+
+impl Table {
+    /// Returns the partition of a row.
+    #[must_use]
+    pub fn partition(self, key: &str) -> Partition {
+        let hash = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+        match self {
+            Self::Jobs if key.starts_with(JOB_PREFIX) => Partition::Jobs(hash % JOB_PARTITIONS),
+            Self::Jobs | Self::Orders => Partition::Planner,
+            Self::Workers => Partition::Reports(hash % REPORT_PARTITIONS),
+            Self::Operator | Self::Status => Partition::Shared,
+        }
+    }
+
+    /// Returns the partitions in which the table has rows.
+    #[must_use]
+    pub fn partitions(self) -> Vec<Partition> {
+        match self {
+            Self::Jobs => {
+                let jobs = (0..JOB_PARTITIONS).map(Partition::Jobs);
+                jobs.chain([Partition::Planner]).collect()
+            }
+            Self::Orders => vec![Partition::Planner],
+            Self::Workers => (0..REPORT_PARTITIONS).map(Partition::Reports).collect(),
+            Self::Operator | Self::Status => vec![Partition::Shared],
+        }
+    }
+}
+
 /// A row, or the mark that it was removed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -136,8 +185,13 @@
     ///
     /// Returns [`Error`] if the store could not be read.
     pub fn get(&self, table: Table, key: &str) -> Result<Option<Row>, Error> {
-        let end = format!("{key}\0");
-        let mut found = (self.scan)(table, key, &end)?;
+        let mut found = (self.scan)(table, key, &after(key))?;
         Ok(found.rows.pop())
     }
 }
+
+/// Returns the key that follows a key.
+#[must_use]
+pub fn after(key: &str) -> String {
+    format!("{key}\0")
+}
--- a/persimmondrift/tests/cell_losses.rs
+++ b/persimmondrift/tests/cell_losses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use persimmondrift::cell::job::{Id, Request, Room, Step};
+use persimmondrift::cell::job::{Group, Id, Request, Room, Step};
 use persimmondrift::cell::record::State;
 use standin::cell::{Cell, LONGEST_LEASE, Trouble};
 
@@ -128,3 +128,30 @@
     assert!(completes(&mut cell, Id(1)));
     assert_eq!(cell.starts(Id(1)), 4);
 }
+
+/// An agent that began its session before it had read its orders forgot the ends that it had
+/// reported, and let them go; done tasks ran again after a power loss (both sites, trouble-2).
+#[test]
+fn noted_ends_kept() {
+    let mut cell = Cell::new(1);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(4, 2));
+    let done = |cell: &Cell| {
+        (0..4).any(|index| {
+            cell.is_noted_done(Group { job: Id(1), occurrence: 0, step: 0 }.task(index))
+        })
+    };
+    cell.hold_planner(true);
+    assert!(!cell.run_until(Duration::from_secs(1), done));
+    cell.hold_planner(false);
+    cell.run(Duration::from_millis(100));
+    // The ends are in the agent's report, and the worker may forget them; no planner is there.
+    cell.hold_planner(true);
+    assert!(cell.run_until(Duration::from_secs(8), done));
+    cell.lose_power();
+    cell.run(Duration::from_secs(2));
+    cell.hold_planner(false);
+    assert!(completes(&mut cell, Id(1)));
+    assert_eq!(cell.starts(Id(1)), 4);
+    assert_eq!(cell.faults, Vec::<String>::new());
+}
--- a/persimmondrift/tests/planner_role.rs
+++ b/persimmondrift/tests/planner_role.rs
@@ -67,14 +67,14 @@
 fn replaced_holder_writes_nothing() {
     let mut rows = Rows::default();
     let mut first = Term::new(Version(0), Epoch(1));
-    let batch = first.seal("a", 1, Vec::new(), Vec::new());
+    let batch = first.seal("a", 1, Vec::new());
     let outcome = rows.commit(&batch);
     assert!(matches!(first.settle(batch, &outcome), Settled::Applied(_)));
     let mut second = Term::new(first.version, Epoch(2));
-    let batch = second.seal("b", 2, Vec::new(), Vec::new());
+    let batch = second.seal("b", 2, Vec::new());
     let outcome = rows.commit(&batch);
     assert!(matches!(second.settle(batch, &outcome), Settled::Applied(_)));
-    let batch = first.seal("a", 3, Vec::new(), write("stale"));
+    let batch = first.seal("a", 3, write("stale"));
     let outcome = rows.commit(&batch);
     assert_eq!(first.settle(batch, &outcome), Settled::Lost);
     assert_eq!(rows.get(Table::Orders, "stale"), None);
@@ -84,7 +84,7 @@
 fn lost_answer_recognised() {
     let mut rows = Rows::default();
     let mut term = Term::new(Version(0), Epoch(1));
-    let batch = term.seal("a", 1, Vec::new(), write("order"));
+    let batch = term.seal("a", 1, write("order"));
     // The first send is applied and its answer lost; the second one is refused.
     rows.commit(&batch);
     let outcome = rows.commit(&batch);
@@ -92,7 +92,7 @@
         panic!("the batch was applied");
     };
     assert_eq!(written[0].key, "order");
-    let batch = term.seal("a", 2, Vec::new(), write("next"));
+    let batch = term.seal("a", 2, write("next"));
     let outcome = rows.commit(&batch);
     assert!(matches!(term.settle(batch, &outcome), Settled::Applied(_)));
 }
--- /dev/null
+++ b/persimmondrift/tests/planner_rounds.rs
@@ -0,0 +1,137 @@
+//! What a planner concludes from the rows that it has, and from those that it has not.
+
+use std::time::Duration;
+
+use persimmondrift::cell::access::Config;
+use persimmondrift::cell::job::{Group, Id, Request, Room, Step};
+use persimmondrift::cell::mirror::{Jobs, Mirror};
+use persimmondrift::cell::planner::{Input, Plan, Planner, Settings};
+use persimmondrift::cell::record::{
+    self, Job, Life, Order, OrderTask, Phase, Progress, State, Worker,
+};
+use persimmondrift::unit::{Epoch, Time, Version};
+use standin::cell::queue;
+
+const AGENT: &str = "agent";
+const GRANT: Duration = Duration::from_millis(5_800);
+
+struct Rows {
+    jobs: Jobs,
+    orders: Mirror<Order>,
+    workers: Mirror<Worker>,
+}
+
+fn life() -> Life {
+    Life { born_ms: 1, id: "i-1".to_owned() }
+}
+
+fn worker(session: u64, revoked: bool) -> Worker {
+    Worker { life: life(), session, revoked, ..Worker::default() }
+}
+
+/// Returns rows with one task that was ordered in session 7.
+fn rows() -> Rows {
+    let need = Room { millicores: 1_000, mebibytes: 1, accelerators: 1 };
+    let step = Step { width: 1, need, estimate_ms: 9_000, ..Step::default() };
+    let request = Request { spec: String::new(), steps: vec![step], schedule: None };
+    let mut progress = Progress::new(&request);
+    progress.state = State::Running;
+    progress.tasks[0].phase = Phase::Ordered;
+    progress.tasks[0].run = 1;
+    let job = Job {
+        queue: queue("normal", 1),
+        workspace: None,
+        accepted_ms: 0,
+        cancelled: false,
+        request: Some(request),
+    };
+    let mut rows =
+        Rows { jobs: Jobs::default(), orders: Mirror::default(), workers: Mirror::default() };
+    rows.jobs.accepted.put(&record::job_key(Id(1)), Version(1), Some(job));
+    rows.jobs.progress.put(&record::progress_key(Id(1)), Version(2), Some(progress));
+    let group = Group { job: Id(1), occurrence: 0, step: 0 };
+    let task = OrderTask { index: 0, run: 1, checkpoint: String::new(), stop: false };
+    let order = Order {
+        epoch: Epoch(1),
+        life: life(),
+        session: 7,
+        need,
+        spec: String::new(),
+        tasks: vec![task],
+    };
+    rows.orders.put(&record::order_key(AGENT, group), Version(2), Some(order));
+    rows
+}
+
+fn planner() -> Planner {
+    Planner::new(Settings {
+        grant: GRANT,
+        keep: Duration::from_mins(2),
+        gang_wait: Duration::from_secs(3),
+        report_every: Duration::from_millis(800),
+    })
+}
+
+fn plan(planner: &mut Planner, rows: &Rows, second: u64, read: Option<Time>) -> Plan {
+    planner.plan(Input {
+        now: Time::from_secs(second),
+        wall_ms: second * 1_000,
+        config: &Config::default(),
+        jobs: &rows.jobs,
+        orders: &rows.orders,
+        workers: &rows.workers,
+        reports_read: read,
+        epoch: Epoch(2),
+    })
+}
+
+/// A planner that took over wrote off what ran everywhere before it had read the reports: tasks ran
+/// twice after all processes were killed (both sites, first run with sessions).
+#[test]
+fn unread_reports_conclude_nothing() {
+    let plan = plan(&mut planner(), &rows(), 10, None);
+    assert!(plan.writes.is_empty() && plan.marks.is_empty(), "{plan:?}");
+}
+
+#[test]
+fn open_session_runs_on() {
+    let mut rows = rows();
+    rows.workers.put(AGENT, Version(3), Some(worker(7, false)));
+    let plan = plan(&mut planner(), &rows, 10, Some(Time::from_secs(10)));
+    assert!(plan.writes.is_empty() && plan.marks.is_empty(), "{plan:?}");
+}
+
+#[test]
+fn ended_session_is_over() {
+    for worker in [worker(8, false), worker(7, true)] {
+        let mut rows = rows();
+        rows.workers.put(AGENT, Version(3), Some(worker.clone()));
+        let plan = plan(&mut planner(), &rows, 10, Some(Time::from_secs(10)));
+        assert_eq!(plan.writes.len(), 2, "the order goes, and the task waits: {worker:?}");
+    }
+}
+
+#[test]
+fn marked_after_the_grant() {
+    let mut rows = rows();
+    rows.workers.put(AGENT, Version(3), Some(worker(7, false)));
+    let mut planner = planner();
+    for second in 10..=15 {
+        let plan = plan(&mut planner, &rows, second, Some(Time::from_secs(second)));
+        assert!(plan.marks.is_empty(), "the grant may still be in force after {second} s");
+    }
+    let marks = plan(&mut planner, &rows, 17, Some(Time::from_secs(16))).marks;
+    assert_eq!(marks.len(), 1);
+    assert_eq!(marks[0].conditions[0].version, Version(3), "a later report makes it fail");
+}
+
+#[test]
+fn own_blindness_is_no_silence() {
+    let mut rows = rows();
+    rows.workers.put(AGENT, Version(3), Some(worker(7, false)));
+    let mut planner = planner();
+    let _ = plan(&mut planner, &rows, 10, Some(Time::from_secs(10)));
+    // The store was away for ten seconds; the first read after it shows the same report.
+    let marks = plan(&mut planner, &rows, 20, Some(Time::from_secs(20))).marks;
+    assert!(marks.is_empty());
+}
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -62,6 +62,7 @@
     pub config: Config,
     vms: Vec<Vm>,
     planner: Option<(Planner, Term)>,
+    planner_held: bool,
     /// Broken promises.
     pub faults: Vec<String>,
     cancelled: BTreeSet<Id>,
@@ -118,6 +119,7 @@
             config,
             vms: vms.collect(),
             planner: None,
+            planner_held: false,
             faults: Vec::new(),
             cancelled: BTreeSet::new(),
             requests: BTreeMap::new(),
@@ -192,6 +194,12 @@
         self.planner = None;
     }
 
+    /// Keeps any planner from taking over, or lets one take over again.
+    pub fn hold_planner(&mut self, held: bool) {
+        self.planner = None;
+        self.planner_held = held;
+    }
+
     /// Ends all processes and workers at once. Only the rows of the store remain.
     pub fn lose_power(&mut self) {
         self.planner = None;
@@ -317,6 +325,9 @@
     }
 
     fn drive_planner(&mut self) {
+        if self.planner_held {
+            return;
+        }
         let jobs = self.jobs();
         if self.planner.is_none() {
             let (version, role) = jobs.role();
@@ -343,10 +354,10 @@
             jobs: &jobs,
             orders: &orders,
             workers: &workers,
-            reports_read: self.now,
+            reports_read: Some(self.now),
             epoch: term.epoch,
         });
-        let batch = term.seal("planner", self.now.0, plan.conditions, plan.writes);
+        let batch = term.seal("planner", self.now.0, plan.writes);
         let entries = batch.conditions.len() + batch.writes.len();
         if entries > planner::ENTRIES_MOST {
             self.faults.push(format!("a batch has {entries} entries"));
@@ -355,6 +366,10 @@
         if term.settle(batch, &outcome) == Settled::Lost {
             self.planner = None;
         }
+        for mark in plan.marks {
+            // One that fails is made again if the agent stays silent.
+            let _ = self.rows.commit(&mark);
+        }
     }
 
     /// Checks what must always hold.
@@ -389,20 +404,22 @@
 fn start_agent(rows: &Rows, name: &str, boot: u64, now: Time) -> Agent {
     let row = rows.get(Table::Workers, name);
     let last: Option<Worker> = row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+    let version = row.map_or(Version(0), |row| row.version);
+    let reporter = Reporter::new(name, boot, version, last.as_ref());
     let mut duty = Duty::new(name, last.as_ref());
+    duty.begin_session(reporter.session());
     duty.fence(Epoch(1));
     let mut orders = rows.snapshot(Table::Orders);
     orders.rows.retain(|row| row.key.starts_with(&format!("{name}/")));
     duty.reset_orders(&orders);
-    let version = row.map_or(Version(0), |row| row.version);
-    Agent { duty, reporter: Reporter::new(name, boot, version), reported: now }
+    Agent { duty, reporter, reported: now }
 }
 
 fn report(rows: &mut Rows, agent: &mut Agent, name: &str, now: Time) {
     let listed = agent.duty.listed();
     let batch = agent.reporter.batch(agent.duty.report(now));
     let outcome = rows.commit(&batch);
-    match agent.reporter.answered(&outcome) {
+    match agent.reporter.answered(&outcome, now.0) {
         Answer::Granted => agent.duty.reported(now, grant::span(LONGEST_LEASE), listed),
         Answer::Reread => {
             let mut orders = rows.snapshot(Table::Orders);
@@ -411,7 +428,11 @@
             agent.reporter.reread();
             agent.duty.reported(now, grant::span(LONGEST_LEASE), listed);
         }
-        Answer::GivenUp | Answer::Again => return,
+        Answer::GivenUp => {
+            agent.duty.begin_session(agent.reporter.session());
+            return;
+        }
+        Answer::Again => return,
     }
     agent.reported = now;
 }
