--- a/persimmondrift/src/cell/table.rs
+++ b/persimmondrift/src/cell/table.rs
@@ -23,22 +23,19 @@
     Status,
 }
 
-/// Partitions of accepted jobs. The store writes each partition one after the other, and a slow
-/// one takes a few writes a second, so that what callers wait for is kept apart from the rest. Few,
-/// since a planner that takes over reads them one by one.
-const JOB_PARTITIONS: u64 = 1;
-/// Partitions of the agents' reports.
+/// Partitions of the agents' reports. Few, since a planner that takes over reads them one by one.
 const REPORT_PARTITIONS: u64 = 2;
 
-/// Rows that may be written together.
+/// Rows that may be written together. The store writes each partition one after the other, and a
+/// slow one takes a few writes a second, so what callers wait for is kept apart from the rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Partition {
     /// What operators and platform share with the system.
     Shared,
     /// What the planner writes.
     Planner,
-    /// Some of the accepted jobs.
-    Jobs(u64),
+    /// Accepted jobs.
+    Jobs,
     /// Some of the reports.
     Reports(u64),
 }
@@ -47,11 +44,13 @@
     /// Returns the partition of a row.
     #[must_use]
     pub fn partition(self, key: &str) -> Partition {
-        let hash = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
         match self {
-            Self::Jobs if key.starts_with(JOB_PREFIX) => Partition::Jobs(hash % JOB_PARTITIONS),
+            Self::Jobs if key.starts_with(JOB_PREFIX) => Partition::Jobs,
             Self::Jobs | Self::Orders => Partition::Planner,
-            Self::Workers => Partition::Reports(hash % REPORT_PARTITIONS),
+            Self::Workers => {
+                let hash = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+                Partition::Reports(hash % REPORT_PARTITIONS)
+            }
             Self::Operator | Self::Status => Partition::Shared,
         }
     }
@@ -60,10 +59,7 @@
     #[must_use]
     pub fn partitions(self) -> Vec<Partition> {
         match self {
-            Self::Jobs => {
-                let jobs = (0..JOB_PARTITIONS).map(Partition::Jobs);
-                jobs.chain([Partition::Planner]).collect()
-            }
+            Self::Jobs => vec![Partition::Planner, Partition::Jobs],
             Self::Orders => vec![Partition::Planner],
             Self::Workers => (0..REPORT_PARTITIONS).map(Partition::Reports).collect(),
             Self::Operator | Self::Status => vec![Partition::Shared],
