Forget an ended job and its progress in batches of their own

Cause, found by reading the change: job and progress went in one batch, and since accepted jobs are in a partition of their own the store refuses that batch; the planner would have sent it for ever once a job had ended for two minutes. Change: the job's row goes first, by a mark on condition of its version, then progress without a job; the other order would make an ended job look new. The stand-in now refuses a batch over partitions, and the test ended_jobs_forgotten failed before.

--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -232,13 +232,17 @@
     }
 }
 
-/// Writes the marks of silent agents. One whose answer is lost is found out by the next watch.
+/// Writes marks. One whose answer is lost is found out by the next watch.
 fn mark(shared: &Shared, cell: &Cell, marks: Vec<Batch>) {
     for batch in marks {
         if let Ok(Outcome::Applied(version)) = (shared.store.commit)(&batch, CALL_TIMEOUT) {
-            let mut workers = cell.lock();
             for Write { table, key, value } in batch.writes {
-                workers.apply(&Row { table, key, version, value });
+                let row = Row { table, key, version, value };
+                if table == Table::Workers {
+                    cell.lock().apply(&row);
+                } else {
+                    shared.apply(std::slice::from_ref(&row));
+                }
             }
         }
     }
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -142,7 +142,7 @@
 pub struct Plan {
     /// What is written on condition of the planner's role.
     pub writes: Vec<Write>,
-    /// Batches of their own, on condition of an agent's report. They hold whoever plans.
+    /// Batches of their own, on condition of the row that they write. They hold whoever plans.
     pub marks: Vec<Batch>,
     /// The decisions.
     pub notes: Vec<Note>,
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -5,7 +5,8 @@
 use super::{Input, Note, Plan, request_of};
 use crate::cell::job::{Group, Id, Request};
 use crate::cell::record::{self, Order, Progress};
-use crate::cell::table::{Table, Write};
+use crate::cell::table::{Batch, Condition, Table, Write};
+use crate::unit::Version;
 
 /// Most entries of a batch, conditions included; the store takes 100.
 pub const ENTRIES_MOST: usize = 90;
@@ -22,7 +23,7 @@
     progress: BTreeMap<Id, Progress>,
     changed_orders: BTreeSet<OrderKey>,
     changed_progress: BTreeSet<Id>,
-    /// Jobs whose rows are removed.
+    /// Jobs whose progress is removed.
     pub forgotten: Vec<Id>,
     /// The round's result so far, apart from orders and progress.
     pub plan: Plan,
@@ -50,7 +51,7 @@
     pub fn left(&self) -> usize {
         // The role row is a condition and a write.
         let used =
-            self.changed_orders.len() + self.changed_progress.len() + 2 * self.forgotten.len() + 2;
+            self.changed_orders.len() + self.changed_progress.len() + self.forgotten.len() + 2;
         ENTRIES_MOST.saturating_sub(used)
     }
 
@@ -98,12 +99,17 @@
             write(Table::Jobs, record::progress_key(*id), progress);
         }
         for id in &self.forgotten {
-            write(Table::Jobs, record::job_key(*id), None);
             write(Table::Jobs, record::progress_key(*id), None);
         }
         self.plan
     }
 
+    /// Adds a batch of its own that writes one row, on condition of its version.
+    pub fn mark(&mut self, table: Table, key: String, version: Version, value: Option<Vec<u8>>) {
+        let conditions = vec![Condition { table, key: key.clone(), version }];
+        self.plan.marks.push(Batch { conditions, writes: vec![Write { table, key, value }] });
+    }
+
     /// Adds a decision for the log.
     pub fn note(&mut self, note: Note) {
         self.plan.notes.push(note);
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -5,7 +5,10 @@
 use super::draft::{Draft, OrderKey};
 use super::{Cause, Note, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
-use crate::cell::record::{Condition as Readiness, End, Ending, Order, Phase, State, Worker};
+use crate::cell::record::{
+    self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, State, Worker,
+};
+use crate::cell::table::Table;
 
 /// Least time without progress after which a task is stopped. Longer than a restart from a
 /// checkpoint and the time between two reports.
@@ -213,9 +216,18 @@
             .collect()
     }
 
-    /// Sets final states, and forgets jobs that ended long ago.
+    /// Sets final states, and forgets jobs that ended long ago: first the job, then its progress,
+    /// since a job without progress looks new.
     pub(super) fn conclude(&mut self, draft: &mut Draft<'_>) {
         let input = draft.input;
+        for (key, _, _) in input.jobs.progress.iter() {
+            let id = key.strip_prefix(PROGRESS_PREFIX).and_then(|id| id.parse().ok());
+            if let Some(id) = id.filter(|id| input.jobs.job(*id).is_none())
+                && draft.left() > 4
+            {
+                draft.forgotten.push(id);
+            }
+        }
         for id in draft.job_ids() {
             if draft.left() < 4 {
                 return;
@@ -232,7 +244,9 @@
             if progress.state.is_final() {
                 let keep_ms = u64::try_from(self.settings.keep.as_millis()).unwrap_or(u64::MAX);
                 if !ordered && input.wall_ms.saturating_sub(progress.ended_ms) > keep_ms {
-                    draft.forgotten.push(id);
+                    let key = record::job_key(id);
+                    let version = input.jobs.accepted.version(&key);
+                    draft.mark(Table::Jobs, key, version, None);
                 }
                 continue;
             }
--- a/persimmondrift/src/cell/planner/watch.rs
+++ b/persimmondrift/src/cell/planner/watch.rs
@@ -6,7 +6,7 @@
 use super::{Input, Note, Planner};
 use crate::cell::grant::LAPSE_MARGIN;
 use crate::cell::record::{self, Worker};
-use crate::cell::table::{Batch, Condition, Table, Write};
+use crate::cell::table::Table;
 use crate::unit::{Time, Version};
 
 /// Reports that an agent may miss before it gets no new work.
@@ -65,10 +65,8 @@
                 draft.note(Note::Removed { agent: agent.to_owned() });
                 None
             };
-            let (table, key) = (Table::Workers, agent.to_owned());
             // Fails if the agent has reported in the meantime.
-            let conditions = vec![Condition { table, key: key.clone(), version }];
-            draft.plan.marks.push(Batch { conditions, writes: vec![Write { table, key, value }] });
+            draft.mark(Table::Workers, agent.to_owned(), version, value);
         }
     }
 }
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -1,6 +1,6 @@
 //! How far a job is, and what its ends make of it.
 
-use super::job::{Group, Id, Request, Step, Task};
+use super::job::{Group, Id, Request, Step};
 use super::record::{End, Ending, Phase, Progress, State, TaskProgress};
 
 impl Progress {
@@ -130,9 +130,3 @@
     let own = request.steps.get(step).map_or(0, |step| usize::from(step.width));
     begin..begin + own
 }
-
-/// Returns the task that an index of a group names.
-#[must_use]
-pub fn task_at(group: Group, index: usize) -> Task {
-    group.task(u16::try_from(index).unwrap_or(u16::MAX))
-}
--- a/persimmondrift/tests/cell_calm.rs
+++ b/persimmondrift/tests/cell_calm.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use persimmondrift::cell::job::{Id, Request, Room, Step};
-use persimmondrift::cell::record::State;
+use persimmondrift::cell::record::{ROLE_KEY, State};
+use persimmondrift::cell::table::Table;
 use standin::cell::Cell;
 
 fn step(width: u16, accelerators: u32) -> Step {
@@ -75,3 +76,22 @@
     cell.run(Duration::from_secs(5));
     assert_eq!(cell.starts(Id(1)), starts, "a cancelled job starts nothing");
 }
+
+/// Job and progress were removed in one batch, though they are in two partitions: the store refuses
+/// such a batch, and the planner sent it for ever.
+#[test]
+fn ended_jobs_forgotten() {
+    let mut cell = Cell::new(1);
+    cell.run(Duration::from_secs(2));
+    cell.submit(Id(1), "normal", "ana", request(vec![step(1, 1)]));
+    cell.run(Duration::from_secs(10));
+    assert_eq!(cell.state(Id(1)), Some(State::Completed));
+    cell.run(Duration::from_mins(2));
+    assert_eq!(cell.state(Id(1)), None);
+    let left = cell.rows.snapshot(Table::Jobs).rows;
+    assert!(left.iter().all(|row| row.key == ROLE_KEY), "{left:?}");
+    assert_eq!(cell.starts(Id(1)), 1, "a forgotten job does not run again");
+    cell.submit(Id(2), "normal", "ana", request(vec![step(1, 1)]));
+    cell.run(Duration::from_secs(10));
+    assert_eq!(cell.state(Id(2)), Some(State::Completed), "the planner goes on");
+}
--- a/standin/src/cell/rows.rs
+++ b/standin/src/cell/rows.rs
@@ -1,8 +1,8 @@
 //! The rows of the store, with conditional batches.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use persimmondrift::cell::table::{Batch, Outcome, Row, Snapshot, Table, Write};
+use persimmondrift::cell::table::{Batch, Outcome, Partition, Row, Snapshot, Table, Write};
 use persimmondrift::unit::Version;
 
 /// The version of a row and its value; nothing if it was removed.
@@ -17,7 +17,15 @@
 
 impl Rows {
     /// Applies a batch, all or nothing.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the rows of the batch are in several partitions, which the store refuses.
     pub fn commit(&mut self, batch: &Batch) -> Outcome {
+        let conditions = batch.conditions.iter().map(|c| c.table.partition(&c.key));
+        let writes = batch.writes.iter().map(|write| write.table.partition(&write.key));
+        let partitions: BTreeSet<Partition> = conditions.chain(writes).collect();
+        assert!(partitions.len() <= 1, "a batch in several partitions: {partitions:?}");
         let holds = batch
             .conditions
             .iter()
