Resume lost watches and renew the role while a new holder reads

Cause: after an outage of the store each entry read the whole table of jobs (366 KB and growing) for each watch that was lost, in pages of up to 1 MB with a time-out of 2 s, on a link of 250 KB/s. The reads never ended and starved commits, the configuration and callers. Once that was mended, each new holder of the planner's role lost it while it read orders, reports and jobs, since it renewed the role only between the reads: 13 holders in 30 s, none of which planned. Ruled out: the panics of the HTTP library, which end one connection only. A new holder reads in a thread of its own and renews the role meanwhile, releases it after 8 s, and waits for its watch of the jobs to pass the first write of the term instead of reading them again.

--- a/persimmondrift/src/cell.rs
+++ b/persimmondrift/src/cell.rs
@@ -16,6 +16,7 @@
 
 pub mod health;
 pub mod pack;
+pub mod page;
 pub mod planner;
 pub mod progress;
 pub mod rank;
@@ -24,6 +25,7 @@
 pub mod role;
 
 pub mod duty;
+pub mod follow;
 pub mod grant;
 pub mod report;
 pub mod spec;
--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -11,6 +11,7 @@
 use super::access::{Access, Config};
 use super::agent::STACK_BYTES;
 use super::clock;
+use super::follow::Position;
 use super::job::Id;
 use super::mirror::Jobs;
 use super::planner;
@@ -78,6 +79,8 @@
     jobs: Jobs,
     /// Whether the table of jobs has been read.
     loaded: bool,
+    /// Version up to which the jobs in memory are complete.
+    complete_to: Version,
     /// When the last call was sent that verified the jobs in memory.
     verified_at: Time,
     access: Access,
@@ -100,6 +103,7 @@
         let state = State {
             jobs: Jobs::default(),
             loaded: false,
+            complete_to: Version(0),
             verified_at: Time(0),
             access: Access::new(settings.revoke_within),
             succession: Succession::default(),
@@ -196,6 +200,7 @@
         let mut state = self.lock();
         state.jobs.reset(snapshot);
         state.loaded = true;
+        state.complete_to = state.complete_to.max(version);
         state.verified_at = sent;
         state.changes += 1;
         let role = state.jobs.role().0;
@@ -208,18 +213,18 @@
 
 /// Watches the table of jobs. Continues while the process drains, to answer callers.
 fn job_loop(shared: &Arc<Shared>) {
-    let mut version = None;
+    let mut position = Position::default();
     loop {
-        let Some(after) = version else {
+        let Some(after) = position.after() else {
             match shared.load_jobs() {
-                Ok(read) => version = Some(read),
+                Ok(read) => position.advance(read),
                 Err(_) => thread::sleep(RETRY_PAUSE),
             }
             continue;
         };
         let sent = clock::now();
-        version = match (shared.store.watch)(Table::Jobs, Feed::default(), after, WATCH_WAIT) {
-            Ok(snapshot) if snapshot.rows.is_empty() => verify_role(shared, after),
+        match (shared.store.watch)(Table::Jobs, Feed::default(), after, WATCH_WAIT) {
+            Ok(snapshot) if snapshot.rows.is_empty() => verify_role(shared, &mut position),
             Ok(snapshot) => {
                 shared.apply(&snapshot.rows);
                 // The answer is as of when it was given, however long the watch waited.
@@ -230,28 +235,32 @@
                 // A process that was suspended may read an answer that was given long before.
                 state.verified_at = sent;
                 state.jobs.prune(after);
+                state.complete_to = state.complete_to.max(snapshot.version);
                 drop(state);
                 shared.changed.notify_all();
                 if !shared.leading.load(Ordering::Relaxed) {
                     thread::sleep(GATHER_PAUSE);
                 }
-                Some(snapshot.version.max(after))
+                position.advance(snapshot.version);
             }
-            Err(_) => None,
-        };
+            Err(error) => {
+                position.record_failure(error);
+                thread::sleep(RETRY_PAUSE);
+            }
+        }
     }
 }
 
 /// Reads the role row after a watch without changes. Its holder writes it continually, so a newer
-/// version shows that the watch missed changes. Returns the version to continue the watch from;
-/// `None` if it missed changes or the read failed.
-fn verify_role(shared: &Shared, after: Version) -> Option<Version> {
+/// version shows that the watch may have missed changes.
+fn verify_role(shared: &Shared, position: &mut Position) {
     let sent = clock::now();
-    let row = shared.store.get(Table::Jobs, ROLE_KEY).ok()?;
+    let Ok(row) = shared.store.get(Table::Jobs, ROLE_KEY) else {
+        return;
+    };
     shared.record_read_time(sent);
-    let version = row.map_or(Version(0), |row| row.version);
-    if version > after {
-        return None;
+    if !position.verify(row.map_or(Version(0), |row| row.version)) {
+        return;
     }
     let mut state = shared.lock();
     let known = state.jobs.role().0;
@@ -259,7 +268,6 @@
     state.verified_at = sent;
     drop(state);
     shared.changed.notify_all();
-    Some(after)
 }
 
 /// Watches the configuration. A watch returns changes at once, but may miss some for a while, so a
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -7,12 +7,13 @@
 
 use super::{RETRY_PAUSE, Shared, clock, planner_settings};
 use crate::cell::agent::STACK_BYTES;
+use crate::cell::follow::Position;
 use crate::cell::mirror::Mirror;
 use crate::cell::planner::{Decision, Input, Plan, Planner};
 use crate::cell::record::{Order, Worker};
 use crate::cell::role::{RENEW_INTERVAL, Term, WriteResult};
 use crate::cell::table::{Batch, CALL_TIMEOUT, Error, Feed, Outcome, Row, Table, Write};
-use crate::unit::{Epoch, Time};
+use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
 /// Maximum pause between two rounds, for decisions that depend on time alone.
@@ -22,6 +23,11 @@
 /// Maximum duration of one watch call for reports.
 const REPORT_WATCH_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Interval at which the progress of the reads at the start of a term is checked.
+const LOAD_POLL: Duration = Duration::from_millis(50);
+/// Time for the reads at the start of a term, after which the role is released.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// The tables that the planner reads during one term, beside the jobs.
 struct TermData {
     orders: Mirror<Order>,
@@ -155,43 +161,90 @@
     }
 }
 
-/// Reads orders, reports and jobs at the start of a term; `None` if the role is lost or the process
-/// stops. The role is renewed in between, since the reads may take long on a slow link.
-fn load(shared: &Shared, term: &mut Term) -> Option<TermData> {
-    while !shared.stopping() {
-        if let Ok(data) = read_all(shared, term) {
-            return Some(data);
+/// Reads what the planner needs at the start of a term, and renews the role meanwhile, since the
+/// reads take longer than [`ROLE_TIMEOUT`](crate::cell::role::ROLE_TIMEOUT) on a slow link. Returns
+/// `None` if the role is lost, the process stops, or the reads exceed [`LOAD_TIMEOUT`].
+fn load(shared: &Arc<Shared>, term: &mut Term) -> Option<TermData> {
+    let (begin, first) = (clock::now(), term.version);
+    let abandoned = Arc::new(AtomicBool::new(false));
+    let (reader_shared, reader_abandoned) = (Arc::clone(shared), Arc::clone(&abandoned));
+    let reader = thread::Builder::new()
+        .name("load".to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(move || read_until_done(&reader_shared, first, &reader_abandoned));
+    let reader = match reader {
+        Ok(reader) => reader,
+        Err(error) => {
+            warn!(RoleLost, "cause=thread error=\"{error}\"");
+            return None;
+        }
+    };
+    let mut renewed = begin;
+    while !reader.is_finished() {
+        let now = clock::now();
+        let late = now.since(begin) > LOAD_TIMEOUT;
+        let due = now.since(renewed) >= RENEW_INTERVAL;
+        if late || shared.stopping() || (due && renew(shared, term).is_err()) {
+            abandoned.store(true, Ordering::Relaxed);
+            if late {
+                warn!(RoleYielded, "epoch={} load_ms={}", term.epoch, now.since(begin).as_millis());
+                let _ = write(shared, term, "", Vec::new());
+            }
+            return None;
+        }
+        if due {
+            renewed = now;
+        }
+        thread::sleep(LOAD_POLL);
+    }
+    // A panic ends the process, so a reader that is joined has a result.
+    reader.join().ok()?
+}
+
+fn read_until_done(shared: &Shared, first: Version, abandoned: &AtomicBool) -> Option<TermData> {
+    while !abandoned.load(Ordering::Relaxed) {
+        if let Ok(data) = read_orders_and_reports(shared) {
+            return wait_for_jobs(shared, first, abandoned).then_some(data);
         }
         thread::sleep(RETRY_PAUSE);
-        renew(shared, term).ok()?;
     }
     None
 }
 
-fn read_all(shared: &Shared, term: &mut Term) -> Result<TermData, Error> {
-    let lost = |_: Lost| Error::NotDone;
+fn read_orders_and_reports(shared: &Shared) -> Result<TermData, Error> {
     let mut orders = Mirror::default();
     orders.reset(&(shared.store.scan)(Table::Orders, "", "")?);
-    renew(shared, term).map_err(lost)?;
     let sent = clock::now();
     let mut workers = Mirror::default();
     workers.reset(&(shared.store.scan)(Table::Workers, "", "")?);
-    renew(shared, term).map_err(lost)?;
-    shared.load_jobs()?;
     let (workers, last_read, ended) =
         (Mutex::new(workers), AtomicU64::new(sent.0), AtomicBool::new(false));
     Ok(TermData { orders, workers, last_read, ended })
 }
 
+/// Waits until the watch of the jobs has passed the first write of the term, so that all writes of
+/// earlier holders are known. Returns whether it has.
+fn wait_for_jobs(shared: &Shared, first: Version, abandoned: &AtomicBool) -> bool {
+    let mut state = shared.lock();
+    while state.complete_to < first {
+        if abandoned.load(Ordering::Relaxed) {
+            return false;
+        }
+        state = shared.wait(state, LOAD_POLL);
+    }
+    true
+}
+
 fn renew(shared: &Shared, term: &mut Term) -> Result<(), Lost> {
     write(shared, term, &shared.settings.name, Vec::new()).map(|_| ())
 }
 
 /// Follows the reports of the agents with watches until the term ends.
 fn follow_reports(shared: &Shared, data: &TermData) {
-    let mut version = None;
+    let mut position = Position::default();
     while !data.ended.load(Ordering::Relaxed) {
-        let read = match version {
+        let after = position.after();
+        let read = match after {
             None => (shared.store.scan)(Table::Workers, "", ""),
             Some(after) => {
                 (shared.store.watch)(Table::Workers, Feed::default(), after, REPORT_WATCH_TIMEOUT)
@@ -200,18 +253,19 @@
         match read {
             // Agents report all the time, so a watch without rows may have missed some; the table
             // is read anew.
-            Ok(snapshot) if version.is_some() && snapshot.rows.is_empty() => version = None,
+            Ok(snapshot) if after.is_some() && snapshot.rows.is_empty() => {
+                position = Position::default();
+            }
             Ok(snapshot) => {
                 let mut workers = data.lock();
-                if let Some(after) = version {
+                if after.is_some() {
                     for row in &snapshot.rows {
                         workers.apply(row);
                     }
-                    version = Some(snapshot.version.max(after));
                 } else {
                     workers.reset(&snapshot);
-                    version = Some(snapshot.version);
                 }
+                position.advance(snapshot.version);
                 data.last_read.store(clock::now().0, Ordering::Relaxed);
                 let peers: Vec<&str> = workers.iter().map(|(_, _, worker)| &*worker.peer).collect();
                 (shared.store.set_relays)(&peers);
@@ -219,8 +273,10 @@
                 shared.lock().changes += 1;
                 shared.changed.notify_all();
             }
-            Err(_) if version.is_some() => version = None,
-            Err(_) => thread::sleep(RETRY_PAUSE),
+            Err(error) => {
+                position.record_failure(error);
+                thread::sleep(RETRY_PAUSE);
+            }
         }
     }
 }
--- /dev/null
+++ b/persimmondrift/src/cell/follow.rs
@@ -0,0 +1,56 @@
+//! Decides whether the watch of a table is continued or the whole table is read anew.
+//!
+//! A read of a whole table is the largest transfer of an entry. If each watch that is lost led to
+//! one, an outage of the store would be followed by reads that fill the links of all entries, so
+//! that further watches are lost.
+
+use super::table::Error;
+use crate::unit::Version;
+
+/// Position in the changes of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Position {
+    /// All changes up to this version are known; `None` if the table has to be read.
+    after: Option<Version>,
+    /// Whether the last watch returned no rows although the table had changed.
+    missed: bool,
+}
+
+impl Position {
+    /// Returns the version to watch from; `None` if the table has to be read.
+    #[must_use]
+    pub fn after(self) -> Option<Version> {
+        self.after
+    }
+
+    /// Records that all changes up to `version` are known, from a read or a watch.
+    pub fn advance(&mut self, version: Version) {
+        self.after = Some(self.after.map_or(version, |after| after.max(version)));
+        self.missed = false;
+    }
+
+    /// Records that a watch failed. It is repeated, unless the store no longer has the history.
+    pub fn record_failure(&mut self, error: Error) {
+        if error == Error::Compacted {
+            *self = Self::default();
+        }
+    }
+
+    /// Records that a watch returned no rows, and that a row of the table was then read at
+    /// `newest`. Returns whether no change was missed.
+    ///
+    /// The row may have changed after the watch returned, so only a second empty watch shows that
+    /// the feed misses changes.
+    pub fn verify(&mut self, newest: Version) -> bool {
+        if self.after.is_some_and(|after| newest <= after) {
+            self.missed = false;
+            return true;
+        }
+        if self.missed {
+            *self = Self::default();
+        } else {
+            self.missed = true;
+        }
+        false
+    }
+}
