Let the lease of a silent worker lapse, and keep it after an agent's restart

Starts, too, extended the lease of a worker that had stopped answering. The other way round, a restarted agent whose worker did not answer its first poll wrote the inherited runs off at once, although the lease could hold for seconds: they ran twice. Change: the bound moves only when a poll or a start that carries the lease is made, and neither carries one to a worker that has not answered for a second; a start that was never sent returns to the planner; a new process counts a full lease from its start; stops without an answer back off up to 1.2 s.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -133,7 +133,7 @@
         store: Arc<Calls>,
         worker: WorkerCalls,
     ) -> std::io::Result<Self> {
-        let reconciler = Reconciler::new(&identity.agent, None);
+        let reconciler = Reconciler::new(&identity.agent, None, clock::now(), identity.max_lease);
         let state = State { reconciler, urgent: false, ready: false, stopping: false };
         let shared = Arc::new(Shared {
             identity,
@@ -302,7 +302,8 @@
             let reporter = Reporter::new(agent, boot, version, last.as_ref());
             {
                 let mut state = shared.lock();
-                state.reconciler = Reconciler::new(agent, last.as_ref());
+                let max_lease = shared.identity.max_lease;
+                state.reconciler = Reconciler::new(agent, last.as_ref(), clock::now(), max_lease);
                 state.reconciler.begin_session(reporter.session());
                 state.reconciler.raise_token(role.map_or(Epoch(1), |role| role.epoch));
             }
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -140,9 +140,10 @@
 }
 
 impl Reconciler {
-    /// Creates the state of an agent process from the agent's last stored report.
+    /// Creates the state of an agent process from the agent's last stored report. An earlier process
+    /// may have let its worker run for up to `max_lease` from `now`.
     #[must_use]
-    pub fn new(agent: &str, last: Option<&Worker>) -> Self {
+    pub fn new(agent: &str, last: Option<&Worker>, now: Time, max_lease: Duration) -> Self {
         let running = last.map_or(&[][..], |last| &last.running);
         let checkpoints = running.iter().map(|run| ((run.task, run.run), run.checkpoint.clone()));
         Self {
@@ -160,7 +161,7 @@
             clock: None,
             last_answer: None,
             grant_until: Time(0),
-            lease_until: Time(0),
+            lease_until: if last.is_some() { now + max_lease } else { Time(0) },
             listed: 0,
             ack_cursor: 0,
             token: Epoch(0),
@@ -275,12 +276,9 @@
     /// Returns the lease to request with the next poll, as a deadline on the worker's clock in
     /// milliseconds; `None` if the lease is not renewed.
     pub fn renew_lease(&mut self, now: Time) -> Option<u64> {
-        let last_answer = self.last_answer?;
-        // The lease of a worker that does not answer lapses, so that its end is known.
-        if now.since(last_answer) > RENEWAL_CUTOFF {
-            return None;
-        }
-        self.deadline(now)
+        let deadline = self.deadline(now)?;
+        self.lease_until = self.lease_until.max(self.grant_until);
+        Some(deadline)
     }
 
     /// Applies the worker's answer to a poll that was sent at `sent`. Returns whether runs have
@@ -332,21 +330,19 @@
     }
 
     /// Ends the runs that the worker cannot be running any more, since it has not answered and its
-    /// lease has lapsed. Returns whether there were any.
+    /// lease has lapsed. Those that were never sent are returned to the planner. Returns whether
+    /// there were any.
     pub fn end_lapsed(&mut self, now: Time) -> bool {
         let silent =
             self.last_answer.is_none_or(|last_answer| now.since(last_answer) > SILENT_AFTER);
-        if !silent || now <= self.lease_until {
+        if !silent || now <= self.lease_until || self.runs.is_empty() {
             return false;
         }
-        let lapsed: Vec<(Task, u32)> =
-            self.runs.iter().filter(|(_, run)| run.maybe_running()).map(|(key, _)| *key).collect();
-        for key in &lapsed {
-            if let Some(own) = self.runs.remove(key) {
-                self.end(key.0, key.1, &own, Ending::Lapsed, "");
-            }
+        for ((task, number), run) in std::mem::take(&mut self.runs) {
+            let ending = if run.maybe_running() { Ending::Lapsed } else { Ending::Refused };
+            self.end(task, number, &run, ending, "");
         }
-        !lapsed.is_empty()
+        true
     }
 
     /// Returns the next call that is due, and marks it as in flight.
@@ -448,10 +444,14 @@
         record::parse_order_key(key).is_some_and(|(agent, _)| agent == self.agent)
     }
 
-    fn deadline(&mut self, now: Time) -> Option<u64> {
-        let deadline = self.clock?.deadline_ms(now, self.grant_until)?;
-        self.lease_until = self.lease_until.max(self.grant_until);
-        Some(deadline)
+    /// Returns the end of a lease that is given now, on the worker's clock in milliseconds; `None` if
+    /// none may be given. The lease of a worker that does not answer is left to lapse, so that its
+    /// end is known.
+    fn deadline(&self, now: Time) -> Option<u64> {
+        if now.since(self.last_answer?) > RENEWAL_CUTOFF {
+            return None;
+        }
+        self.clock?.deadline_ms(now, self.grant_until)
     }
 
     /// Begins a new incarnation of the worker, in which nothing runs yet. Runs that the previous
--- a/persimmondrift/src/cell/duty/run.rs
+++ b/persimmondrift/src/cell/duty/run.rs
@@ -9,6 +9,10 @@
 
 /// Pause after a start that was refused or not sent, so that retries do not overload the worker.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum pause between stops without an answer.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
+/// Number of times that the pause doubles; enough to reach the maximum.
+const MAX_DOUBLINGS: u32 = 4;
 /// Refused starts after which a run is returned to the planner.
 const MAX_REFUSALS: u32 = 3;
 
@@ -36,6 +40,8 @@
     /// Whether a call is in flight.
     in_flight: bool,
     not_before: Time,
+    /// Stop calls that were not answered.
+    unanswered_stops: u32,
     refusals: u32,
     percent: u8,
     saved_checkpoint: String,
@@ -63,6 +69,7 @@
             stopped: None,
             in_flight: false,
             not_before: Time(0),
+            unanswered_stops: 0,
             refusals: 0,
             percent: 0,
             saved_checkpoint: reported.cloned().unwrap_or_default(),
@@ -83,6 +90,7 @@
             stopped: None,
             in_flight: false,
             not_before: Time(0),
+            unanswered_stops: 0,
             refusals: 0,
             percent: 0,
             saved_checkpoint: String::new(),
@@ -142,6 +150,8 @@
                 self.started.get_or_insert(now);
                 self.last_progress = self.last_progress.max(now);
             }
+            // Sent again at once, since the members of a gang wait for each other. A worker that
+            // stays silent gets no starts.
             StartAnswer::NoAnswer => {}
             StartAnswer::NotSent => {
                 self.maybe_running = self.maybe_running_before || self.is_started();
@@ -166,7 +176,13 @@
         self.in_flight = false;
         if answered {
             self.stopped.get_or_insert(now);
+            return;
         }
+        // The first retry is immediate, since the answer may be lost. A worker that is gone refuses
+        // each call within milliseconds.
+        let pauses = (1 << self.unanswered_stops) - 1;
+        self.not_before = now + (RETRY_PAUSE * pauses).min(MAX_RETRY_PAUSE);
+        self.unanswered_stops = (self.unanswered_stops + 1).min(MAX_DOUBLINGS);
     }
 
     /// Applies the state that a listing shows.
--- a/persimmondrift/tests/task_texts.rs
+++ b/persimmondrift/tests/task_texts.rs
@@ -84,7 +84,7 @@
         value: Some(record::encode(order)),
     };
     let now = Time::from_secs(10);
-    let mut reconciler = Reconciler::new("vm-1", None);
+    let mut reconciler = Reconciler::new("vm-1", None, Time(0), Duration::ZERO);
     reconciler.begin_session(1);
     reconciler.reset_orders(&Snapshot::default());
     let capacity = Resources { millicores: 9, mebibytes: 9, accelerators: 9 };
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -439,7 +439,7 @@
     let last: Option<Worker> = row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
     let version = row.map_or(Version(0), |row| row.version);
     let reporter = Reporter::new(name, boot, version, last.as_ref());
-    let mut reconciler = Reconciler::new(name, last.as_ref());
+    let mut reconciler = Reconciler::new(name, last.as_ref(), now, MAX_LEASE);
     reconciler.begin_session(reporter.session());
     reconciler.raise_token(Epoch(1));
     let mut orders = rows.snapshot(Table::Orders);
