Release the role when the process stops during the first reads

Cause: found by reading: a holder that was stopped while it read orders and reports left the role to its time-out, so the others waited 1.6 s longer than after any other planned stop. Change: it releases the role, as it does when the reads take too long. Tests: role_load and planner_role cover the reads and releases; no test stops a holder during them.

--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -182,14 +182,16 @@
     let mut renewed = begin;
     while !reader.is_finished() {
         let now = clock::now();
-        let late = now.since(begin) > LOAD_TIMEOUT;
         let due = now.since(renewed) >= RENEW_INTERVAL;
-        if late || shared.stopping() || (due && renew(shared, term).is_err()) {
+        if due && renew(shared, term).is_err() {
             abandoned.store(true, Ordering::Relaxed);
-            if late {
-                warn!(RoleYielded, "epoch={} load_ms={}", term.epoch, now.since(begin).as_millis());
-                let _ = write(shared, term, "", Vec::new());
-            }
+            return None;
+        }
+        let load = now.since(begin);
+        if load > LOAD_TIMEOUT || shared.stopping() {
+            abandoned.store(true, Ordering::Relaxed);
+            log!(RoleYielded, "epoch={} load_ms={}", term.epoch, load.as_millis());
+            let _ = write(shared, term, "", Vec::new());
             return None;
         }
         if due {
