--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use super::{RETRY_PAUSE, Shared, clock, planner_settings};
@@ -156,8 +156,7 @@
     data.ended.store(true, Ordering::Relaxed);
     if shared.stopping() || yields {
         log!(RoleYielded, "epoch={epoch} detour={yields}");
-        // An empty holder releases the role, so that another entry may take over at once.
-        let _ = write(shared, &mut term, "", Vec::new());
+        release(shared, &mut term);
     }
 }
 
@@ -165,7 +164,7 @@
 /// reads take longer than [`ROLE_TIMEOUT`](crate::cell::role::ROLE_TIMEOUT) on a slow link. Returns
 /// `None` if the role is lost, the process stops, or the reads exceed [`LOAD_TIMEOUT`].
 fn load(shared: &Arc<Shared>, term: &mut Term) -> Option<TermData> {
-    let (begin, first) = (clock::now(), term.version);
+    let first = term.version;
     let abandoned = Arc::new(AtomicBool::new(false));
     let (reader_shared, reader_abandoned) = (Arc::clone(shared), Arc::clone(&abandoned));
     let reader = thread::Builder::new()
@@ -179,28 +178,36 @@
             return None;
         }
     };
+    if !hold_while_reading(shared, term, &reader) {
+        abandoned.store(true, Ordering::Relaxed);
+        return None;
+    }
+    // A panic ends the process, so a reader that is joined has a result.
+    reader.join().ok()?
+}
+
+/// Renews the role until the reads are done. Returns whether the role is still held; it is released
+/// if the process stops or the reads exceed [`LOAD_TIMEOUT`].
+fn hold_while_reading<T>(shared: &Shared, term: &mut Term, reader: &JoinHandle<T>) -> bool {
+    let begin = clock::now();
     let mut renewed = begin;
     while !reader.is_finished() {
         let now = clock::now();
-        let due = now.since(renewed) >= RENEW_INTERVAL;
-        if due && renew(shared, term).is_err() {
-            abandoned.store(true, Ordering::Relaxed);
-            return None;
+        if now.since(renewed) >= RENEW_INTERVAL {
+            if renew(shared, term).is_err() {
+                return false;
+            }
+            renewed = now;
         }
         let load = now.since(begin);
         if load > LOAD_TIMEOUT || shared.stopping() {
-            abandoned.store(true, Ordering::Relaxed);
             log!(RoleYielded, "epoch={} load_ms={}", term.epoch, load.as_millis());
-            let _ = write(shared, term, "", Vec::new());
-            return None;
-        }
-        if due {
-            renewed = now;
+            release(shared, term);
+            return false;
         }
         thread::sleep(LOAD_POLL);
     }
-    // A panic ends the process, so a reader that is joined has a result.
-    reader.join().ok()?
+    true
 }
 
 fn read_until_done(shared: &Shared, first: Version, abandoned: &AtomicBool) -> Option<TermData> {
@@ -241,6 +248,12 @@
     write(shared, term, &shared.settings.name, Vec::new()).map(|_| ())
 }
 
+/// Writes an empty holder, so that another entry may take over at once. If the write fails, others
+/// take the role after its time-out.
+fn release(shared: &Shared, term: &mut Term) {
+    let _ = write(shared, term, "", Vec::new());
+}
+
 /// Follows the reports of the agents with watches until the term ends.
 fn follow_reports(shared: &Shared, data: &TermData) {
     let mut position = Position::default();
--- a/persimmondrift/tests/role_load.rs
+++ b/persimmondrift/tests/role_load.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use persimmondrift::cell::access::Config;
-use persimmondrift::cell::entry::{Handle, Settings};
+use persimmondrift::cell::entry::Handle;
 use persimmondrift::cell::record::{self, Role};
 use persimmondrift::cell::table::{Calls, Outcome, Snapshot, Table, Write};
 use persimmondrift::unit::Version;
-use standin::cell::Rows;
+use standin::cell::{Rows, entry_settings};
 
 /// Renewals that a holder makes in two time-outs of the role.
 const RENEWALS: usize = 7;
@@ -85,13 +85,6 @@
 fn start(shared: &Arc<Shared>) -> Handle {
     let (table, key) = (Table::Operator, "config".to_owned());
     shared.lock().rows.write(Write { table, key, value: Some(vec![1]) });
-    let settings = Settings {
-        name: "entry-1".to_owned(),
-        revoke_within: Duration::from_mins(10),
-        grant: Duration::from_secs(5),
-        keep: Duration::from_mins(2),
-        gang_wait: Duration::from_secs(3),
-    };
     let config = |_: &[u8]| {
         Some(Config {
             version: Version(1),
@@ -101,7 +94,7 @@
             max_body_bytes: 0,
         })
     };
-    Handle::start(settings, Arc::new(calls(shared)), Box::new(config)).expect("threads")
+    Handle::start(entry_settings(), Arc::new(calls(shared)), Box::new(config)).expect("threads")
 }
 
 /// Waits until a condition on the store holds. Returns whether it did.
--- a/persimmondrift/tests/silent_worker.rs
+++ b/persimmondrift/tests/silent_worker.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use persimmondrift::cell::duty::{Action, Heartbeat, Listing, Reconciler};
+use persimmondrift::cell::duty::{Action, Heartbeat, Listing, Reconciler, StartAnswer};
 use persimmondrift::cell::job::{Group, Id, Request, Resources, Step, Task};
 use persimmondrift::cell::record::{self, Incarnation, Order, OrderTask, State};
 use persimmondrift::cell::table::{Row, Snapshot, Table};
@@ -78,7 +78,7 @@
     agent.apply_listing(now, now, &listing);
     agent.apply_orders(&[order(false, 1)]);
     assert!(matches!(agent.next_call(now), Some(Action::Start { .. })));
-    agent.start_answered(now, TASK, 1, persimmondrift::cell::duty::StartAnswer::Started);
+    agent.start_answered(now, TASK, 1, StartAnswer::Started);
     agent
 }
 
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -10,6 +10,7 @@
 use persimmondrift::cell::access::{Config, Queue, Workspace};
 use persimmondrift::cell::agent::REPORT_INTERVAL;
 use persimmondrift::cell::duty::{Action, Heartbeat, Reconciler};
+use persimmondrift::cell::entry::Settings;
 use persimmondrift::cell::grant;
 use persimmondrift::cell::job::{Id, Request, Task};
 use persimmondrift::cell::mirror::{Jobs, Mirror};
@@ -89,6 +90,18 @@
     }
 }
 
+/// Returns the settings of an entry process that uses a stand-in for the store.
+#[must_use]
+pub fn entry_settings() -> Settings {
+    Settings {
+        name: "entry-1".to_owned(),
+        revoke_within: Duration::from_mins(10),
+        grant: Duration::from_secs(5),
+        keep: Duration::from_mins(2),
+        gang_wait: Duration::from_secs(3),
+    }
+}
+
 impl Cell {
     /// Creates a cell of workers with 8 accelerators each, 3 per rack, and two workspaces that are
     /// guaranteed 16 accelerators each.
