Log which runs of a crashed worker its next incarnation may start

E211 named the runs that a crashed incarnation took along. It did not say which incarnation followed, nor which of these runs the next one may start: under the same id it takes calls that were meant for the one before. The line now has both.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -474,8 +474,17 @@
 }
 
 fn log_crash(crash: Option<Crash>) {
-    if let Some(Crash { incarnation, runs }) = crash {
-        let runs: Vec<String> = runs.iter().map(|(task, run)| format!("{task}:{run}")).collect();
-        warn!(WorkerCrashed, "life={incarnation} tasks={}", runs.join(","));
+    if let Some(Crash { incarnation, next, runs, unsettled }) = crash {
+        let names = |runs: &[(Task, u32)]| -> String {
+            let names: Vec<String> =
+                runs.iter().map(|(task, run)| format!("{task}:{run}")).collect();
+            names.join(",")
+        };
+        warn!(
+            WorkerCrashed,
+            "life={incarnation} next={next} tasks={} unsettled={}",
+            names(&runs),
+            names(&unsettled)
+        );
     }
 }
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -137,8 +137,12 @@
 pub struct Crash {
     /// Incarnation that crashed.
     pub incarnation: Incarnation,
+    /// Incarnation that has replaced it.
+    pub next: Incarnation,
     /// Runs that it took along: task and run number.
     pub runs: Vec<(Task, u32)>,
+    /// Those of them that the next incarnation may start, if it has the same id.
+    pub unsettled: Vec<(Task, u32)>,
 }
 
 /// An end that the planner has not processed.
@@ -585,13 +589,16 @@
             let pending = self.runs.iter().filter(|(_, run)| is_pending(run));
             self.pending = pending.map(|(key, _)| *key).collect();
         }
-        let mut lost = Vec::new();
+        let (mut lost, mut unsettled) = (Vec::new(), Vec::new());
         for ((task, run), own) in std::mem::take(&mut self.runs) {
             if own.maybe_running() && !own.is_orphan() {
                 let ending = evidence.get(&(task, run)).copied().filter(|_| crashed);
                 let ending = ending.unwrap_or(Ending::Lapsed);
                 self.end(task, run, &own, ending, "");
                 lost.push((task, run));
+                if own.is_unsettled() {
+                    unsettled.push((task, run));
+                }
             }
         }
         self.losses.retain(|(loss, _)| crashed || loss.crashed);
@@ -599,7 +606,8 @@
             for (loss, _) in &mut self.losses {
                 loss.crashed = true;
             }
-            self.crash = Some(Crash { incarnation: self.incarnation.clone(), runs: lost });
+            let (earlier, next) = (self.incarnation.clone(), incarnation.clone());
+            self.crash = Some(Crash { incarnation: earlier, next, runs: lost, unsettled });
         }
         self.incarnation = incarnation;
         self.last_heartbeat = None;
--- a/persimmondrift/src/cell/duty/run.rs
+++ b/persimmondrift/src/cell/duty/run.rs
@@ -53,6 +53,12 @@
     maybe_running_before: bool,
     /// Whether the worker listed it without an order.
     orphan: bool,
+    /// Whether an earlier agent process may have sent its start.
+    inherited: bool,
+    /// Whether a start is in flight.
+    start_in_flight: bool,
+    /// Whether a listing has shown it.
+    confirmed: bool,
     /// Whether a start got no answer.
     unanswered: bool,
     /// When a start was answered, or a listing first showed it.
@@ -91,6 +97,9 @@
             maybe_running,
             maybe_running_before: maybe_running,
             orphan: false,
+            inherited: maybe_running,
+            start_in_flight: false,
+            confirmed: false,
             started: None,
             reported_age: reported.map(age),
             stopped: None,
@@ -115,6 +124,9 @@
             maybe_running: true,
             maybe_running_before: true,
             orphan: true,
+            inherited: false,
+            start_in_flight: false,
+            confirmed: true,
             started: Some(now),
             reported_age: None,
             stopped: None,
@@ -170,6 +182,14 @@
         !self.is_started() && !self.in_flight && (!self.maybe_running || self.unlisted)
     }
 
+    /// Returns whether a start that was sent may be carried out by the worker's next incarnation, or
+    /// may have been answered by it: only a listing tells one incarnation from another.
+    pub fn is_unsettled(&self) -> bool {
+        let unconfirmed = self.is_started() && !self.confirmed;
+        let unknown = self.start_in_flight || self.unanswered || self.inherited;
+        self.maybe_running && !self.orphan && (unknown || unconfirmed)
+    }
+
     pub fn mark_in_flight(&mut self) {
         self.in_flight = true;
     }
@@ -183,12 +203,14 @@
         self.maybe_running_before = self.maybe_running;
         self.maybe_running = true;
         self.unlisted = false;
+        self.start_in_flight = true;
         self.mark_in_flight();
     }
 
     /// Applies the answer to a start.
     pub fn start_answered(&mut self, now: Time, answer: StartAnswer) {
         self.in_flight = false;
+        self.start_in_flight = false;
         match answer {
             StartAnswer::Started | StartAnswer::Old => {
                 self.started.get_or_insert(now);
@@ -232,6 +254,7 @@
     /// Applies the state that a listing shows.
     pub fn observe(&mut self, now: Time, checkpoint: &str, percent: u8) {
         self.maybe_running = true;
+        self.confirmed = true;
         self.unlisted = false;
         if self.started.is_none() {
             self.started = Some(now);
