Let simulated workers restart under their id

The stand-in restarted each time under a new id, and its calls did not look at the addressee, so nothing that depends on either could be tested. A call to another id is refused now. The same id is taken by whatever incarnation is up, and starts that are delayed beyond a crash are carried out by the next incarnation if it has the id that they were sent to. A cell may also hide a worker from its agent, which then hears of a new incarnation after it has sent calls to it.

--- a/persimmondrift/tests/capacity_changes.rs
+++ b/persimmondrift/tests/capacity_changes.rs
@@ -65,11 +65,11 @@
     let size = Size { need: NEED, work_ms: 60_000, checkpoints: false };
     let over = |shrunk_for: Duration| {
         let mut worker = Target::new(1, 1);
-        assert_eq!(worker.start(task(1), 1, size, "", 5_900), StartAnswer::Started);
+        assert_eq!(worker.start("", (task(1), 1), size, "", 5_900), StartAnswer::Started);
         worker.set_capacity(accelerators(7));
         worker.advance(shrunk_for);
-        worker.stop(task(1), 1);
-        assert_eq!(worker.start(task(2), 1, size, "", 9_000), StartAnswer::Started);
+        worker.stop("", (task(1), 1));
+        assert_eq!(worker.start("", (task(2), 1), size, "", 9_000), StartAnswer::Started);
         worker.starts_over_capacity
     };
     assert_eq!(over(Duration::from_secs(4)), []);
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -55,6 +55,8 @@
     store_unreachable: bool,
     /// Whether the agent process is suspended; its worker keeps running.
     frozen: bool,
+    /// Whether heartbeats are lost and polls stay without an answer, while other calls arrive.
+    unheard: bool,
     heartbeats: u64,
 }
 
@@ -158,6 +160,7 @@
             agent: None,
             store_unreachable: false,
             frozen: false,
+            unheard: false,
             heartbeats: 0,
         });
         Self {
@@ -303,6 +306,11 @@
         self.vms[vm].frozen = frozen;
     }
 
+    /// Makes an agent hear nothing of its worker: heartbeats are lost and polls wait. Other calls arrive.
+    pub fn set_unheard(&mut self, vm: usize, unheard: bool) {
+        self.vms[vm].unheard = unheard;
+    }
+
     /// Ends the planner. Another takes over in the next step, unless takeover is blocked.
     pub fn crash_planner(&mut self) {
         self.planner = None;
@@ -412,13 +420,19 @@
             return;
         };
         let mut urgent = false;
-        if !vm.worker.is_down() {
+        if !vm.unheard && !vm.worker.is_down() {
             vm.heartbeats += 1;
             let heartbeat = heartbeat(&vm.worker, &vm.rack, vm.heartbeats);
             urgent = agent.reconciler.heartbeat(now, heartbeat);
         }
-        let listing =
-            vm.worker.list_runs(agent.reconciler.renew_lease(now), agent.reconciler.ack_cursor());
+        let addressee = agent.reconciler.incarnation().id.clone();
+        let listing = if vm.unheard {
+            None
+        } else {
+            let (deadline_ms, acked) =
+                (agent.reconciler.renew_lease(now), agent.reconciler.ack_cursor());
+            vm.worker.list_runs(&addressee, deadline_ms, acked)
+        };
         let ended = listing
             .is_some_and(|listing| agent.reconciler.apply_listing(now, now, &listing))
             || agent.reconciler.end_lapsed(now);
@@ -438,10 +452,12 @@
             agent.reconciler.start_answered(now, task, run, StartAnswer::NoAnswer);
         }
         while let Some(action) = agent.reconciler.next_call(now) {
+            let addressee = agent.reconciler.incarnation().id.clone();
             match action {
                 Action::Start { task, run, checkpoint, deadline_ms, .. } => {
                     let size = size_of(&self.requests, &self.work_ms_by_job, task);
-                    let answer = vm.worker.start(task, run, size, &checkpoint, deadline_ms);
+                    let answer =
+                        vm.worker.start(&addressee, (task, run), size, &checkpoint, deadline_ms);
                     let lost = self.unanswered.contains(&task) && answer == StartAnswer::Started;
                     if lost {
                         agent.lost_start = Some((now + CALL_TIMEOUT, task, run));
@@ -460,7 +476,7 @@
                     }
                 }
                 Action::Stop { task, run } => {
-                    let answered = vm.worker.stop(task, run);
+                    let answered = vm.worker.stop(&addressee, (task, run));
                     agent.reconciler.stop_call_done(now, task, run, answered);
                     if !answered {
                         break;
--- a/standin/src/cell/target.rs
+++ b/standin/src/cell/target.rs
@@ -72,6 +72,8 @@
     size: Size,
     checkpoint: String,
     deadline_ms: u64,
+    /// Id of the incarnation that it is addressed to; any if it is empty.
+    addressee: String,
 }
 
 /// A simulated worker.
@@ -97,6 +99,8 @@
     listed_end: u64,
     /// Time until a crashed worker is back, in milliseconds; 0 if it is up.
     down_ms: u64,
+    /// Whether the next incarnation of a crashed worker has the same id.
+    keeps_id: bool,
     /// Ends up to this number precede the last lapse of the lease; their acknowledgement does not
     /// count.
     ignore_acks_upto: u64,
@@ -120,27 +124,61 @@
         Self { incarnation, number, capacity: CAPACITY, ..Self::default() }
     }
 
-    /// Restarts the worker as a new incarnation without runs.
+    /// Restarts the worker as a new incarnation without runs and with a new id.
     pub fn restart(&mut self) {
+        let started_ms = self.incarnation.started_ms + 1;
+        let id = format!("i-{}-{started_ms}", self.number);
+        self.begin(Incarnation { started_ms, id });
+    }
+
+    /// Restarts the worker as a new incarnation without runs that has the same id, so that it takes
+    /// calls to the one before. Its clock and the numbers of its ends begin anew.
+    pub fn restart_same_id(&mut self) {
+        let Incarnation { started_ms, id } = self.incarnation.clone();
+        self.begin(Incarnation { started_ms: started_ms + 1, id });
+    }
+
+    fn begin(&mut self, incarnation: Incarnation) {
         let starts = std::mem::take(&mut self.starts);
         let acked_done = std::mem::take(&mut self.acked_done);
         let starts_over_capacity = std::mem::take(&mut self.starts_over_capacity);
         let (lost_core_ms, capacity) = (self.lost_core_ms, self.capacity);
+        let before_ms = self.true_ms;
+        let late = std::mem::take(&mut self.delayed_starts).into_iter();
+        let late = late.filter(|start| is_addressed(&start.addressee, &incarnation));
+        let late = late.map(|start| DelayedStart {
+            sent_ms: 0,
+            at_ms: start.at_ms.saturating_sub(before_ms),
+            ..start
+        });
         *self = Self {
             capacity,
             starts_over_capacity,
             starts,
             lost_core_ms,
             acked_done,
-            ..Self::new(self.incarnation.started_ms + 1, self.number)
+            delayed_starts: late.collect(),
+            incarnation,
+            ..Self::new(0, self.number)
         };
     }
 
     /// Crashes the worker: all runs are gone at once. It is back after `down` as a new incarnation.
     pub fn crash(&mut self, down: Duration) {
+        self.delayed_starts.clear();
+        self.crash_with(down, false);
+    }
+
+    /// Crashes the worker as [`Self::crash`] does; its next incarnation has the same id. Starts that
+    /// are delayed until then are carried out by it.
+    pub fn crash_same_id(&mut self, down: Duration) {
+        self.crash_with(down, true);
+    }
+
+    fn crash_with(&mut self, down: Duration, keeps_id: bool) {
         self.running.clear();
         self.finished.clear();
-        self.delayed_starts.clear();
+        self.keeps_id = keeps_id;
         self.down_ms = u64::try_from(down.as_millis()).unwrap_or(u64::MAX).max(1);
     }
 
@@ -161,6 +199,11 @@
         self.running.iter().map(|(task, running)| (*task, running.run))
     }
 
+    /// Returns the runs whose start is delayed.
+    pub fn delayed_starts(&self) -> impl Iterator<Item = (Task, u32)> {
+        self.delayed_starts.iter().map(|start| (start.task, start.run))
+    }
+
     /// Returns the capacity, which heartbeats report.
     #[must_use]
     pub fn capacity(&self) -> Resources {
@@ -214,9 +257,15 @@
     pub fn advance(&mut self, span: Duration) {
         let span_ms = u64::try_from(span.as_millis()).unwrap_or(0);
         if self.is_down() {
+            self.true_ms += span_ms;
+            // The port is closed, so what arrives now has no effect.
+            let now_ms = self.true_ms;
+            self.delayed_starts.retain(|start| start.at_ms > now_ms);
             self.down_ms = self.down_ms.saturating_sub(span_ms);
-            if self.down_ms == 0 {
-                self.restart();
+            match (self.down_ms, self.keeps_id) {
+                (0, true) => self.restart_same_id(),
+                (0, false) => self.restart(),
+                _ => {}
             }
             return;
         }
@@ -267,9 +316,16 @@
     }
 
     /// Extends the lease, discards the ends numbered up to `acked`, and returns the runs. Returns
-    /// `None` if the worker is unresponsive.
-    pub fn list_runs(&mut self, deadline_ms: Option<u64>, acked: u64) -> Option<Listing> {
-        if self.failure == Failure::Unresponsive || self.is_down() {
+    /// `None` if the worker is unresponsive or the call is addressed to another id; any is addressed
+    /// if the id is empty.
+    pub fn list_runs(
+        &mut self,
+        addressee: &str,
+        deadline_ms: Option<u64>,
+        acked: u64,
+    ) -> Option<Listing> {
+        let refuses = !is_addressed(addressee, &self.incarnation);
+        if refuses || self.failure == Failure::Unresponsive || self.is_down() {
             return None;
         }
         self.extend(deadline_ms.unwrap_or(0));
@@ -293,17 +349,19 @@
         })
     }
 
-    /// Handles a call that starts a run. The call also extends the lease.
+    /// Handles a call that starts a run. The call also extends the lease. One to another id is
+    /// refused; the same id is taken by whatever incarnation is up.
     pub fn start(
         &mut self,
-        task: Task,
-        run: u32,
+        addressee: &str,
+        (task, run): (Task, u32),
         size: Size,
         checkpoint: &str,
         deadline_ms: u64,
     ) -> StartAnswer {
         match self.failure {
             _ if self.is_down() => StartAnswer::NotSent,
+            _ if !is_addressed(addressee, &self.incarnation) => StartAnswer::OtherLife,
             Failure::Unresponsive | Failure::LosesStarts => StartAnswer::NoAnswer,
             Failure::DelayedStarts(delay) => {
                 let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(0);
@@ -317,6 +375,7 @@
                     size,
                     checkpoint,
                     deadline_ms,
+                    addressee: addressee.to_owned(),
                 });
                 StartAnswer::NoAnswer
             }
@@ -325,8 +384,9 @@
     }
 
     /// Handles a call that stops a run. Returns whether the call is answered.
-    pub fn stop(&mut self, task: Task, run: u32) -> bool {
-        if self.failure == Failure::Unresponsive || self.is_down() {
+    pub fn stop(&mut self, addressee: &str, (task, run): (Task, u32)) -> bool {
+        let refuses = !is_addressed(addressee, &self.incarnation);
+        if refuses || self.failure == Failure::Unresponsive || self.is_down() {
             return false;
         }
         match self.running.get_mut(&task) {
@@ -397,3 +457,8 @@
         self.true_ms * CLOCK_PERCENT / 100
     }
 }
+
+/// Returns whether a call to an id is taken by an incarnation.
+fn is_addressed(addressee: &str, incarnation: &Incarnation) -> bool {
+    addressee.is_empty() || addressee == incarnation.id
+}
