Log what an end is concluded from, and which stored reports acknowledge ends

The log of a run that was written off although it had ended as done did not say from which report it was concluded, nor whether the end was acknowledged before or after. E403 now has the basis with version and age of the report; E417 has a line for each stored report that raises the acknowledged end, or that follows a gap of more than three intervals. No logic is changed.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -17,6 +17,8 @@
 
 /// Interval of an agent's reports while nothing changes.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between two stored reports from which on the second one is logged.
+const LOGGED_GAP: Duration = REPORT_INTERVAL.saturating_mul(3);
 /// Maximum wait for changed orders in one call. A dead connection is noticed only after it, so it
 /// is a part of the time that a gang's members wait for each other.
 const WATCH_WAIT: Duration = Duration::from_millis(1_600);
@@ -245,6 +247,7 @@
         return;
     };
     let mut last = Time(0);
+    let (mut stored, mut calls) = (clock::now(), 0_u32);
     loop {
         let mut state = shared.lock();
         while !state.urgent && !state.stopping {
@@ -267,6 +270,7 @@
         };
         drop(state);
         last = sent;
+        calls = calls.saturating_add(1);
         let outcome = (shared.store.commit)(&reporter.batch(worker), CALL_TIMEOUT);
         let next = fastrand::u64(1..);
         let granted = match outcome.as_ref().map(|outcome| reporter.handle_outcome(outcome, next)) {
@@ -288,8 +292,24 @@
         if granted {
             reporter.orders_reread();
             let span = grant::span(shared.identity.max_lease);
-            shared.lock().reconciler.report_stored(sent, span, listed);
+            let mut state = shared.lock();
+            let before = state.reconciler.ack_cursor();
+            state.reconciler.report_stored(sent, span, listed);
+            let cursor = state.reconciler.ack_cursor();
+            drop(state);
             shared.changed.notify_all();
+            let gap = sent.since(stored);
+            if cursor > before || gap > LOGGED_GAP {
+                log!(
+                    ReportStored,
+                    "version={} session={} cursor={cursor} took_ms={} gap_ms={} calls={calls}",
+                    reporter.version(),
+                    reporter.session(),
+                    clock::now().since(sent).as_millis(),
+                    gap.as_millis()
+                );
+            }
+            (stored, calls) = (sent, 0);
         } else {
             shared.lock().urgent = true;
             thread::sleep(RETRY_PAUSE);
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -449,9 +449,10 @@
         Decision::Stopped { task, agent, cause } => {
             log!(AttemptStopped, "task={task} agent={agent} cause={cause:?} epoch={epoch}");
         }
-        Decision::Ended { task, run, agent, ending } => {
-            log!(AttemptOver, "task={task} run={run} agent={agent} ending={ending}");
-        }
+        Decision::Ended { task, run, agent, ending, basis, report, report_age_ms } => log!(
+            AttemptOver,
+            "task={task} run={run} agent={agent} ending={ending} basis={basis:?} report={report} report_age_ms={report_age_ms} epoch={epoch}"
+        ),
         Decision::Concluded { job, state, after_ms, failure } => match failure {
             None => log!(JobEnded, "job={job} state={state} after_ms={after_ms}"),
             Some(Failure::Attempts) => {
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -114,6 +114,12 @@
         agent: String,
         /// How the run ended.
         ending: super::record::Ending,
+        /// What the end was concluded from.
+        basis: Basis,
+        /// Version of the agent's report that it was concluded from; 0 if there is none.
+        report: Version,
+        /// Time since that report was first seen, in milliseconds.
+        report_age_ms: u64,
     },
     /// A job has reached a final state.
     Concluded {
@@ -159,6 +165,23 @@
     },
 }
 
+/// What the end of a run is concluded from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Basis {
+    /// The agent's report lists the end.
+    Listed,
+    /// The agent has no report.
+    NoReport,
+    /// The worker has another incarnation than the run was ordered for.
+    Incarnation,
+    /// The agent has another session than the run was ordered for.
+    Session,
+    /// The agent's session is revoked.
+    Revoked,
+    /// No order was stored for the run.
+    Unsent,
+}
+
 /// Why a run is stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::draft::{Draft, OrderKey};
-use super::{Cause, Decision, Fault, Planner, queue_of, request_of};
+use super::{Basis, Cause, Decision, Fault, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
@@ -30,15 +30,6 @@
 /// Expected run time of a task, in percent of its estimate.
 const OVERRUN_PERCENT: u64 = 130;
 
-/// Whether runs of an order may still be running.
-enum OrderState {
-    /// The worker's incarnation or the agent's session is over, so all runs have ended, listed or
-    /// not.
-    Closed,
-    /// Only the runs that the agent's report lists as ended are over.
-    Open,
-}
-
 impl Planner {
     /// Removes ended runs from the orders, and applies their ends to the progress of their jobs.
     pub(super) fn apply_ends(&mut self, draft: &mut Draft<'_>) {
@@ -55,24 +46,30 @@
         }
     }
 
-    /// Returns the ends of those runs of an order that are over.
-    fn ended_runs(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<End> {
+    /// Returns the ends of those runs of an order that are over, and what each is concluded from.
+    fn ended_runs(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<(End, Basis)> {
         let (agent, group) = key;
         let order = &draft.orders[key];
-        let input = draft.input;
-        let worker = input.workers.get(agent);
-        let order_state = match worker {
-            None => OrderState::Closed,
-            Some(worker) if worker.incarnation != order.incarnation => OrderState::Closed,
-            Some(worker) if worker.session != order.session || worker.revoked => OrderState::Closed,
-            Some(_) => OrderState::Open,
+        let worker = draft.input.workers.get(agent);
+        // If the worker's incarnation or the agent's session is over, all runs have ended, listed
+        // or not.
+        let closed = match worker {
+            None => Some(Basis::NoReport),
+            Some(worker) if worker.incarnation != order.incarnation => Some(Basis::Incarnation),
+            Some(worker) if worker.session != order.session => Some(Basis::Session),
+            Some(worker) if worker.revoked => Some(Basis::Revoked),
+            Some(_) => None,
         };
-        let mut ends = reported_ends(order, *group, worker);
-        if matches!(order_state, OrderState::Closed) {
+        let mut ends: Vec<(End, Basis)> = reported_ends(order, *group, worker)
+            .into_iter()
+            .map(|end| (end, Basis::Listed))
+            .collect();
+        if let Some(basis) = closed {
             // A listed end is final, whatever happened to the worker afterwards.
-            let listed: Vec<u16> = ends.iter().map(|end| end.task.index).collect();
+            let listed: Vec<u16> = ends.iter().map(|(end, _)| end.task.index).collect();
             let unlisted = self.lapsed_ends(order, *group).into_iter();
-            ends.extend(unlisted.filter(|end| !listed.contains(&end.task.index)));
+            let unlisted = unlisted.filter(|end| !listed.contains(&end.task.index));
+            ends.extend(unlisted.map(|end| (end, basis)));
         }
         ends
     }
@@ -90,15 +87,18 @@
         order.tasks.iter().map(end).collect()
     }
 
-    fn apply_order_ends(&mut self, draft: &mut Draft<'_>, key: &OrderKey, ends: &[End]) {
+    fn apply_order_ends(&mut self, draft: &mut Draft<'_>, key: &OrderKey, ends: &[(End, Basis)]) {
         let (agent, group) = key;
         if let Some((_, request)) = request_of(draft.input.jobs, group.job) {
             let progress = draft.progress_mut(group.job, request);
-            for end in ends {
+            for (end, _) in ends {
                 progress.apply_end(request, end);
             }
         }
-        for end in ends {
+        let report = draft.input.workers.version(agent);
+        let age = self.time_since_report(draft.input.now, agent);
+        let report_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        for (end, basis) in ends {
             match end.ending {
                 ending if ending.is_crash() => {
                     self.record_crash(draft, agent, end.task, end.run, ending);
@@ -118,10 +118,18 @@
             }
             self.checkpoints.remove(&end.task);
             let (task, run, ending) = (end.task, end.run, end.ending);
-            draft.add_decision(Decision::Ended { task, run, agent: agent.clone(), ending });
+            draft.add_decision(Decision::Ended {
+                task,
+                run,
+                agent: agent.clone(),
+                ending,
+                basis: *basis,
+                report,
+                report_age_ms,
+            });
         }
         if let Some(order) = draft.order_mut(key) {
-            order.tasks.retain(|task| !ends.iter().any(|end| end.task.index == task.index));
+            order.tasks.retain(|task| !ends.iter().any(|(end, _)| end.task.index == task.index));
         }
     }
 
--- a/persimmondrift/src/cell/planner/unsent.rs
+++ b/persimmondrift/src/cell/planner/unsent.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 
 use super::draft::Draft;
-use super::{Decision, request_of};
+use super::{Basis, Decision, request_of};
 use crate::cell::job::{Group, Id, Request, Task};
 use crate::cell::mirror::{Jobs, Mirror};
 use crate::cell::record::{self, Ending, JOB_PREFIX, Order, Phase, Progress};
+use crate::unit::Version;
 
 /// Runs that orders hold.
 type Runs = BTreeSet<(Task, u32)>;
@@ -44,7 +45,15 @@
             let tasks = draft.progress_mut(id, request).group_mut(request, task.group());
             tasks[usize::from(task.index)].phase = Phase::Waiting;
             let (agent, ending) = ("none".to_owned(), Ending::Refused);
-            draft.add_decision(Decision::Ended { task, run, agent, ending });
+            draft.add_decision(Decision::Ended {
+                task,
+                run,
+                agent,
+                ending,
+                basis: Basis::Unsent,
+                report: Version(0),
+                report_age_ms: 0,
+            });
         }
     }
 }
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -99,6 +99,8 @@
     GroupWaits = 415,
     /// A crash of a worker was recorded for a task that ran there.
     CrashRecorded = 416,
+    /// A report of an agent was stored, with ends that its worker may forget, or after a gap.
+    ReportStored = 417,
     /// A plan was made for an intent.
     Planned = 501,
     /// An intent was refused.
