Keep the planner's role while sessions are revoked

Cause: the holder committed the revocations of a round one after the other, in the thread that renews its role, each with up to 700 ms. A few of them on loaded parts of the store take longer than the role's time-out of 1.6 s, so another entry took over, counted the silence of the agents anew, and did the same 6.1 s later, when the next grants had expired. Evidence: in the log of the issue, the last decisions of epochs 1 to 4 are 24, 29, 28 and 10 revocations (E202) in one round, at 24.0, 32.2, 40.3 and 48.4 s, each followed by a takeover 1.7 s later. One revocation of 32.2 s was applied only after epoch 3 had begun.

A thread of the term now commits the updates of single rows. They do not depend on the role, only on the version of their row, so the planner may go on with its rounds; a new list is taken when the last one is done, and E202 is logged once for each attempt. The thread ends with the term, so a holder that was replaced makes at most one more revocation.

--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -1,7 +1,8 @@
 //! The planner's thread: takes the role, plans rounds, and commits their batches.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -41,14 +42,74 @@
     workers: Mutex<Mirror<Worker>>,
     /// Time of the last successful read of the reports, in microseconds as in [`Time`].
     last_read: AtomicU64,
-    /// Set when the term is over, to end the thread that follows the reports.
+    row_updates: Mutex<RowUpdates>,
+    row_updates_changed: Condvar,
+    /// Set when the term is over, to end the threads that follow the reports and update rows.
     ended: AtomicBool,
 }
 
+/// Updates of single rows that one round has planned.
+#[derive(Debug, Default)]
+struct RowUpdates {
+    /// Those that have not begun.
+    queue: VecDeque<Batch>,
+    /// Whether one is being committed.
+    in_flight: bool,
+}
+
 impl TermData {
+    fn new(orders: Mirror<Order>, workers: Mirror<Worker>, last_read: Time) -> Self {
+        Self {
+            orders,
+            workers: Mutex::new(workers),
+            last_read: AtomicU64::new(last_read.0),
+            row_updates: Mutex::default(),
+            row_updates_changed: Condvar::new(),
+            ended: AtomicBool::new(false),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Mirror<Worker>> {
         self.workers.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn lock_row_updates(&self) -> MutexGuard<'_, RowUpdates> {
+        self.row_updates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether all updates of earlier rounds are done.
+    fn has_updated_rows(&self) -> bool {
+        let row_updates = self.lock_row_updates();
+        row_updates.queue.is_empty() && !row_updates.in_flight
+    }
+
+    fn add_row_updates(&self, batches: Vec<Batch>) {
+        self.lock_row_updates().queue.extend(batches);
+        self.row_updates_changed.notify_all();
+    }
+
+    /// Waits for the next update; `None` if the term is over.
+    fn next_row_update(&self) -> Option<Batch> {
+        let mut row_updates = self.lock_row_updates();
+        row_updates.in_flight = false;
+        while !self.ended.load(Ordering::Relaxed) {
+            if let Some(batch) = row_updates.queue.pop_front() {
+                row_updates.in_flight = true;
+                return Some(batch);
+            }
+            let waited = self.row_updates_changed.wait(row_updates);
+            row_updates = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+        None
+    }
+
+    /// Ends the threads of the term.
+    fn end(&self) {
+        // Under the lock, so that the notice is not missed between a check and a wait.
+        let _row_updates = self.lock_row_updates();
+        self.ended.store(true, Ordering::Relaxed);
+        self.row_updates_changed.notify_all();
+    }
 }
 
 /// Runs until the process stops.
@@ -102,13 +163,15 @@
         return;
     };
     let data = Arc::new(data);
-    let (follower_data, follower_shared) = (Arc::clone(&data), Arc::clone(shared));
-    let spawned = thread::Builder::new()
-        .name("reports".to_owned())
-        .stack_size(STACK_BYTES)
-        .spawn(move || follow_reports(&follower_shared, &follower_data));
+    let spawn = |name: &str, body: fn(&Shared, &TermData)| {
+        let (data, shared) = (Arc::clone(&data), Arc::clone(shared));
+        let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+        builder.spawn(move || body(&shared, &data))
+    };
+    let spawned = spawn("reports", follow_reports).and_then(|_| spawn("rows", update_rows));
     if let Err(error) = spawned {
         warn!(RoleLost, "cause=thread error=\"{error}\"");
+        data.end();
         return;
     }
     let mut orders = data.orders.clone();
@@ -145,14 +208,13 @@
         for observation in &plan.observations {
             log_observation(observation, epoch);
         }
-        if plan.writes.is_empty()
-            && plan.row_updates.is_empty()
-            && clock::now().since(renewed) < RENEW_INTERVAL
-        {
+        let Plan { writes, row_updates, decisions, .. } = plan;
+        // Those of an earlier round may be among them, and are planned again if they fail.
+        let updates_rows = !row_updates.is_empty() && data.has_updated_rows();
+        if writes.is_empty() && !updates_rows && clock::now().since(renewed) < RENEW_INTERVAL {
             continue;
         }
         let sent = clock::now();
-        let Plan { writes, row_updates, decisions, .. } = plan;
         let Ok(unwritable) = write_plan(shared, &mut term, writes, &mut orders) else {
             break;
         };
@@ -160,14 +222,21 @@
             planner.record_unwritable(job);
         }
         renewed = sent;
+        let is_row_update = |decision: &Decision| {
+            matches!(decision, Decision::Revoked { .. } | Decision::Removed { .. })
+        };
         for decision in &decisions {
-            log_decision(decision, epoch);
+            if updates_rows || !is_row_update(decision) {
+                log_decision(decision, epoch);
+            }
         }
         orders.prune(term.version);
-        commit_row_updates(shared, &data, row_updates);
+        if updates_rows {
+            data.add_row_updates(row_updates);
+        }
         yields = term.yields(shared.reach());
     }
-    data.ended.store(true, Ordering::Relaxed);
+    data.end();
     if shared.stopping() || yields {
         log!(RoleYielded, "epoch={epoch} detour={yields}");
         release(shared, &mut term);
@@ -242,9 +311,7 @@
     let sent = clock::now();
     let mut workers = Mirror::default();
     workers.reset(&(shared.store.scan)(Table::Workers, "", "", PAGE_TIMEOUT)?);
-    let (workers, last_read, ended) =
-        (Mutex::new(workers), AtomicU64::new(sent.0), AtomicBool::new(false));
-    Ok(TermData { orders, workers, last_read, ended })
+    Ok(TermData::new(orders, workers, sent))
 }
 
 /// Waits until the watch of the jobs has passed the first write of the term, so that all writes of
@@ -413,10 +480,11 @@
     }
 }
 
-/// Commits updates of single rows. If an answer is lost, the next watch shows whether the update
-/// was applied.
-fn commit_row_updates(shared: &Shared, data: &TermData, row_updates: Vec<Batch>) {
-    for batch in row_updates {
+/// Commits the updates of single rows one after the other until the term ends. Each may wait for a
+/// loaded part of the store, and the planner has to renew its role meanwhile. If an answer is lost,
+/// the next watch shows whether the update was applied.
+fn update_rows(shared: &Shared, data: &TermData) {
+    while let Some(batch) = data.next_row_update() {
         if let Ok(Outcome::Applied(version)) = (shared.store.commit)(&batch, CALL_TIMEOUT) {
             for Write { table, key, value } in batch.writes {
                 let row = Row { table, key, version, value };
