Count no gang as stalled before its last member has started

Cause: a member of a gang makes no progress until the last member has started, and the planner took it for stalled 1.6 s after its own start. That it seemed to be a matter of new planners is since a gang's orders arrive late when the planner changes or the store is loaded. The other hypothesis, that a planner judges by reports that it has not read, does not hold: a report states the time without progress itself.

A gang now counts as stalled only if the reports show that all of its ordered members run and that each has made no progress for that long. So that a gang with a member that never starts does not wait for ever after a change of planners, the new one counts its wait from when it first saw the gang (GangLate), and judges only agents that have reported to it since.

--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -229,6 +229,8 @@
     reserves: HashMap<String, Reserve>,
     /// When the members of each gang were last ordered.
     gangs_ordered_at: HashMap<Group, Time>,
+    /// When this planner first saw each gang that an earlier one had ordered.
+    adopted: HashMap<Group, Time>,
     /// Agents on whose workers tasks of a group have failed.
     failed_on: HashMap<Group, Vec<String>>,
     /// Run and name of the newest checkpoint that was reported for each task.
@@ -256,6 +258,7 @@
             health: Health::default(),
             reserves: HashMap::new(),
             gangs_ordered_at: HashMap::new(),
+            adopted: HashMap::new(),
             failed_on: HashMap::new(),
             checkpoints: HashMap::new(),
             unwritable: BTreeSet::new(),
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -8,7 +8,8 @@
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
-    self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, State, Worker,
+    self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, Running, State,
+    Worker,
 };
 use crate::cell::table::Table;
 
@@ -160,10 +161,11 @@
         }
         self.failed_on.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
         self.gangs_ordered_at.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
+        self.adopted.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
     }
 
     /// Returns the cause for which all runs of a group are to be stopped, if there is one.
-    fn group_stop_cause(&self, draft: &mut Draft<'_>, group: Group) -> Option<Cause> {
+    fn group_stop_cause(&mut self, draft: &mut Draft<'_>, group: Group) -> Option<Cause> {
         let input = draft.input;
         let (job, request) = request_of(input.jobs, group.job)?;
         if job.cancelled {
@@ -189,21 +191,24 @@
             return Some(Cause::GangBroken);
         }
         let wait = self.settings.gang_wait * GANG_WAIT_PERCENT / 100;
-        let since = self.gangs_ordered_at.get(&group)?;
-        if input.now.since(*since) < wait {
+        let ordered = self.gangs_ordered_at.get(&group).copied();
+        let since = ordered.unwrap_or_else(|| *self.adopted.entry(group).or_insert(input.now));
+        if input.now.since(since) < wait {
             return None;
         }
         // A report from before the middle of the wait does not count: a member may have started
         // after it.
         let has_unstarted = |(agent, own): &OrderKey, order: &Order| {
             let has_reported =
-                self.last_reports.get(agent).is_some_and(|(_, at)| *at >= *since + wait / 2);
+                self.last_reports.get(agent).is_some_and(|(_, at)| *at >= since + wait / 2);
             let worker = input.workers.get(agent);
             let runs = worker.map_or(&[][..], |worker| &worker.running);
             let started = order.tasks.iter().all(|task| {
                 runs.iter().any(|run| run.task == own.task(task.index) && run.run == task.run)
             });
-            !started && (has_reported || !self.is_responsive(&input, agent))
+            // What has started on the worker of an agent that this planner has not heard is unknown.
+            let is_silent = ordered.is_some() && !self.is_responsive(&input, agent);
+            !started && (has_reported || is_silent)
         };
         let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
         members.any(|(key, order)| has_unstarted(key, order)).then_some(Cause::GangLate)
@@ -233,10 +238,11 @@
                 let left = u64::from(worker.remaining_ms.saturating_sub(DRAIN_SLACK_MS));
                 return (step.long_running || rest > left).then_some(Cause::Draining);
             }
-            let stalled =
-                running.is_some_and(|running| u64::from(running.since_progress_ms) >= stall_ms);
+            let stalled = running.is_some_and(|running| is_stalled(running, stall_ms));
             // What a silent worker runs is not known.
             let stalled = stalled && worker.condition != Readiness::Silent;
+            // A gang makes no progress until its last member has started.
+            let stalled = stalled && (!step.gang || is_whole_gang_stalled(draft, *group, stall_ms));
             (stalled && percent < 100 && !step.long_running).then_some(Cause::Stalled)
         };
         let tasks = draft.orders[key].tasks.iter().filter(|task| !task.stop);
@@ -342,6 +348,22 @@
     worker.ends.iter().filter(ordered).cloned().collect()
 }
 
+fn is_stalled(running: &Running, stall_ms: u64) -> bool {
+    u64::from(running.since_progress_ms) >= stall_ms
+}
+
+/// Returns whether the reports show that all ordered members of a gang run and none makes progress.
+fn is_whole_gang_stalled(draft: &Draft<'_>, group: Group, stall_ms: u64) -> bool {
+    let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
+    members.all(|((agent, _), order)| {
+        let runs = draft.input.workers.get(agent).map_or(&[][..], |worker| &worker.running);
+        order.tasks.iter().all(|task| {
+            let run = |own: &&Running| own.task == group.task(task.index) && own.run == task.run;
+            runs.iter().find(run).is_some_and(|running| is_stalled(running, stall_ms))
+        })
+    })
+}
+
 /// Returns whether a group is a gang, whose tasks only work together.
 fn is_gang(draft: &Draft<'_>, group: Group) -> bool {
     request_of(draft.input.jobs, group.job)
