--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use super::draft::{Draft, OrderKey};
-use super::{Cause, Decision, Fault, Planner, queue_of, request_of};
+use super::{Basis, Cause, Decision, Fault, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
-    self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, State, Worker,
+    self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, Running, State,
+    Worker,
 };
 use crate::cell::table::Table;
 
@@ -30,15 +31,6 @@
 /// Expected run time of a task, in percent of its estimate.
 const OVERRUN_PERCENT: u64 = 130;
 
-/// Whether runs of an order may still be running.
-enum OrderState {
-    /// The worker's incarnation or the agent's session is over, so all runs have ended, listed or
-    /// not.
-    Closed,
-    /// Only the runs that the agent's report lists as ended are over.
-    Open,
-}
-
 impl Planner {
     /// Removes ended runs from the orders, and applies their ends to the progress of their jobs.
     pub(super) fn apply_ends(&mut self, draft: &mut Draft<'_>) {
@@ -55,24 +47,30 @@
         }
     }
 
-    /// Returns the ends of those runs of an order that are over.
-    fn ended_runs(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<End> {
+    /// Returns the ends of those runs of an order that are over, and what each is concluded from.
+    fn ended_runs(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<(End, Basis)> {
         let (agent, group) = key;
         let order = &draft.orders[key];
-        let input = draft.input;
-        let worker = input.workers.get(agent);
-        let order_state = match worker {
-            None => OrderState::Closed,
-            Some(worker) if worker.incarnation != order.incarnation => OrderState::Closed,
-            Some(worker) if worker.session != order.session || worker.revoked => OrderState::Closed,
-            Some(_) => OrderState::Open,
+        let worker = draft.input.workers.get(agent);
+        // If the worker's incarnation or the agent's session is over, all runs have ended, listed
+        // or not.
+        let closed = match worker {
+            None => Some(Basis::NoReport),
+            Some(worker) if worker.incarnation != order.incarnation => Some(Basis::Incarnation),
+            Some(worker) if worker.session != order.session => Some(Basis::Session),
+            Some(worker) if worker.revoked => Some(Basis::Revoked),
+            Some(_) => None,
         };
-        let mut ends = reported_ends(order, *group, worker);
-        if matches!(order_state, OrderState::Closed) {
+        let mut ends: Vec<(End, Basis)> = reported_ends(order, *group, worker)
+            .into_iter()
+            .map(|end| (end, Basis::Listed))
+            .collect();
+        if let Some(basis) = closed {
             // A listed end is final, whatever happened to the worker afterwards.
-            let listed: Vec<u16> = ends.iter().map(|end| end.task.index).collect();
+            let listed: Vec<u16> = ends.iter().map(|(end, _)| end.task.index).collect();
             let unlisted = self.lapsed_ends(order, *group).into_iter();
-            ends.extend(unlisted.filter(|end| !listed.contains(&end.task.index)));
+            let unlisted = unlisted.filter(|end| !listed.contains(&end.task.index));
+            ends.extend(unlisted.map(|end| (end, basis)));
         }
         ends
     }
@@ -90,15 +88,18 @@
         order.tasks.iter().map(end).collect()
     }
 
-    fn apply_order_ends(&mut self, draft: &mut Draft<'_>, key: &OrderKey, ends: &[End]) {
+    fn apply_order_ends(&mut self, draft: &mut Draft<'_>, key: &OrderKey, ends: &[(End, Basis)]) {
         let (agent, group) = key;
         if let Some((_, request)) = request_of(draft.input.jobs, group.job) {
             let progress = draft.progress_mut(group.job, request);
-            for end in ends {
+            for (end, _) in ends {
                 progress.apply_end(request, end);
             }
         }
-        for end in ends {
+        let report = draft.input.workers.version(agent);
+        let age = self.time_since_report(draft.input.now, agent);
+        let report_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        for (end, basis) in ends {
             match end.ending {
                 ending if ending.is_crash() => {
                     self.record_crash(draft, agent, end.task, end.run, ending);
@@ -118,10 +119,18 @@
             }
             self.checkpoints.remove(&end.task);
             let (task, run, ending) = (end.task, end.run, end.ending);
-            draft.add_decision(Decision::Ended { task, run, agent: agent.clone(), ending });
+            draft.add_decision(Decision::Ended {
+                task,
+                run,
+                agent: agent.clone(),
+                ending,
+                basis: *basis,
+                report,
+                report_age_ms,
+            });
         }
         if let Some(order) = draft.order_mut(key) {
-            order.tasks.retain(|task| !ends.iter().any(|end| end.task.index == task.index));
+            order.tasks.retain(|task| !ends.iter().any(|(end, _)| end.task.index == task.index));
         }
     }
 
@@ -152,10 +161,11 @@
         }
         self.failed_on.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
         self.gangs_ordered_at.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
+        self.adopted.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
     }
 
     /// Returns the cause for which all runs of a group are to be stopped, if there is one.
-    fn group_stop_cause(&self, draft: &mut Draft<'_>, group: Group) -> Option<Cause> {
+    fn group_stop_cause(&mut self, draft: &mut Draft<'_>, group: Group) -> Option<Cause> {
         let input = draft.input;
         let (job, request) = request_of(input.jobs, group.job)?;
         if job.cancelled {
@@ -181,21 +191,24 @@
             return Some(Cause::GangBroken);
         }
         let wait = self.settings.gang_wait * GANG_WAIT_PERCENT / 100;
-        let since = self.gangs_ordered_at.get(&group)?;
-        if input.now.since(*since) < wait {
+        let ordered = self.gangs_ordered_at.get(&group).copied();
+        let since = ordered.unwrap_or_else(|| *self.adopted.entry(group).or_insert(input.now));
+        if input.now.since(since) < wait {
             return None;
         }
         // A report from before the middle of the wait does not count: a member may have started
         // after it.
         let has_unstarted = |(agent, own): &OrderKey, order: &Order| {
             let has_reported =
-                self.last_reports.get(agent).is_some_and(|(_, at)| *at >= *since + wait / 2);
+                self.last_reports.get(agent).is_some_and(|(_, at)| *at >= since + wait / 2);
             let worker = input.workers.get(agent);
             let runs = worker.map_or(&[][..], |worker| &worker.running);
             let started = order.tasks.iter().all(|task| {
                 runs.iter().any(|run| run.task == own.task(task.index) && run.run == task.run)
             });
-            !started && (has_reported || !self.is_responsive(&input, agent))
+            // What has started on the worker of an agent that this planner has not heard is unknown.
+            let is_silent = ordered.is_some() && !self.is_responsive(&input, agent);
+            !started && (has_reported || is_silent)
         };
         let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
         members.any(|(key, order)| has_unstarted(key, order)).then_some(Cause::GangLate)
@@ -225,10 +238,11 @@
                 let left = u64::from(worker.remaining_ms.saturating_sub(DRAIN_SLACK_MS));
                 return (step.long_running || rest > left).then_some(Cause::Draining);
             }
-            let stalled =
-                running.is_some_and(|running| u64::from(running.since_progress_ms) >= stall_ms);
+            let stalled = running.is_some_and(|running| is_stalled(running, stall_ms));
             // What a silent worker runs is not known.
             let stalled = stalled && worker.condition != Readiness::Silent;
+            // A gang makes no progress until its last member has started.
+            let stalled = stalled && (!step.gang || is_whole_gang_stalled(draft, *group, stall_ms));
             (stalled && percent < 100 && !step.long_running).then_some(Cause::Stalled)
         };
         let tasks = draft.orders[key].tasks.iter().filter(|task| !task.stop);
@@ -334,6 +348,22 @@
     worker.ends.iter().filter(ordered).cloned().collect()
 }
 
+fn is_stalled(running: &Running, stall_ms: u64) -> bool {
+    u64::from(running.since_progress_ms) >= stall_ms
+}
+
+/// Returns whether the reports show that all ordered members of a gang run and none makes progress.
+fn is_whole_gang_stalled(draft: &Draft<'_>, group: Group, stall_ms: u64) -> bool {
+    let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
+    members.all(|((agent, _), order)| {
+        let runs = draft.input.workers.get(agent).map_or(&[][..], |worker| &worker.running);
+        order.tasks.iter().all(|task| {
+            let run = |own: &&Running| own.task == group.task(task.index) && own.run == task.run;
+            runs.iter().find(run).is_some_and(|running| is_stalled(running, stall_ms))
+        })
+    })
+}
+
 /// Returns whether a group is a gang, whose tasks only work together.
 fn is_gang(draft: &Draft<'_>, group: Group) -> bool {
     request_of(draft.input.jobs, group.job)
