Name the claimant of a stop in E402, and what the stop costs

E402 with cause=Reclaimed did not say for which group a run is stopped, so a claim that repeats, or takes more than it needs, could not be told from many claims. It now names the claimant with its rank, and the run, progress and loss of what is stopped.

--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -10,7 +10,7 @@
 use crate::cell::follow::Position;
 use crate::cell::job::Id;
 use crate::cell::mirror::Mirror;
-use crate::cell::planner::{self, Decision, Input, Observation, Plan, Planner};
+use crate::cell::planner::{self, Claim, Decision, Input, Observation, Plan, Planner};
 use crate::cell::progress::Failure;
 use crate::cell::record::{self, Order, Worker};
 use crate::cell::role::{RENEW_INTERVAL, Term, WriteResult};
@@ -446,9 +446,21 @@
             Placed,
             "group={group} agent={agent} count={count} run={run} waited_ms={waited_ms} report={report} epoch={epoch}"
         ),
-        Decision::Stopped { task, agent, cause } => {
-            log!(AttemptStopped, "task={task} agent={agent} cause={cause:?} epoch={epoch}");
-        }
+        Decision::Stopped { task, run, agent, cause, claim } => match claim {
+            None => {
+                log!(
+                    AttemptStopped,
+                    "task={task} run={run} agent={agent} cause={cause:?} epoch={epoch}"
+                );
+            }
+            Some(Claim { group, rank, percent, loss }) => log!(
+                AttemptStopped,
+                "task={task} run={run} agent={agent} cause={cause:?} percent={percent} loss_core_ms={loss} claimant={group} guaranteed={} priority={} slack_ms={} epoch={epoch}",
+                rank.guaranteed,
+                rank.priority,
+                rank.slack_ms
+            ),
+        },
         Decision::Ended { task, run, agent, ending } => {
             log!(AttemptOver, "task={task} run={run} agent={agent} ending={ending}");
         }
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -35,6 +35,7 @@
 use super::job::{Group, Id, Request, Task};
 use super::mirror::{Jobs, Mirror};
 use super::progress::Failure;
+use super::rank::Rank;
 use super::record::{Job, Order, Worker};
 use super::reserve::Reserve;
 use super::table::{Batch, Write};
@@ -99,10 +100,14 @@
     Stopped {
         /// Task whose run is stopped.
         task: Task,
+        /// Run number.
+        run: u32,
         /// Agent of the worker that it was ordered on.
         agent: String,
         /// Reason for the stop.
         cause: Cause,
+        /// Claim on its resources, if it is stopped for another group.
+        claim: Option<Claim>,
     },
     /// The end of a run was removed from the orders and applied to the progress of its job.
     Ended {
@@ -178,6 +183,19 @@
     Reclaimed,
 }
 
+/// A claim of a waiting group on the resources of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Claim {
+    /// Group that claims the resources.
+    pub group: Group,
+    /// Rank of the group.
+    pub rank: Rank,
+    /// Reported progress of the run, in percent.
+    pub percent: u8,
+    /// Cost of the stop, in core-milliseconds; for a member of a gang, of stopping the whole gang.
+    pub loss: u64,
+}
+
 /// The result of a round.
 #[derive(Debug, Default)]
 pub struct Plan {
--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -5,7 +5,7 @@
 use super::draft::Draft;
 use super::fold::stop;
 use super::place::{PendingGroup, Pool, assigned};
-use super::{Cause, queue_of, request_of};
+use super::{Cause, Claim, queue_of, request_of};
 use crate::cell::job::{Group, Id, Resources, Step};
 use crate::cell::pack::{self, Demand, Placement};
 use crate::cell::rank::Rank;
@@ -54,7 +54,9 @@
         let chosen = select_victims(pool, index, need, &candidates[index]);
         for victim in chosen.unwrap_or_default() {
             pool.release(index, victim.room);
-            stop(draft, victim.task, Cause::Reclaimed);
+            let Victim { percent, loss, .. } = victim;
+            let claim = Claim { group: pending.group, rank: pending.rank, percent, loss };
+            stop(draft, victim.task, Cause::Reclaimed, Some(claim));
         }
     }
     hold_room(pool, step, &placement);
@@ -204,7 +206,7 @@
         let running = worker.running.iter().find(|run| run.task == id && run.run == task.run);
         let percent = running.map_or(0, |running| running.percent);
         let loss = StopCost { rank, step, percent, run: task.run }.loss();
-        Victim { task: id, room: step.effective_need(), loss, gang: step.gang }
+        Victim { task: id, room: step.effective_need(), percent, loss, gang: step.gang }
     };
     unstopped.map(victim).collect()
 }
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::draft::{Draft, OrderKey};
-use super::{Cause, Decision, Fault, Planner, queue_of, request_of};
+use super::{Cause, Claim, Decision, Fault, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
@@ -138,7 +138,7 @@
                 continue;
             }
             if let Some(cause) = self.group_stop_cause(draft, *group) {
-                stop_group(draft, *group, cause);
+                stop_group(draft, *group, cause, None);
                 continue;
             }
             for (task, cause) in Self::run_stop_causes(draft, &key) {
@@ -147,7 +147,7 @@
                     let faults = if is_gang(draft, *group) { 1 } else { STALL_FAULTS };
                     self.record_fault(draft.input.now, agent, Fault::Stalled, faults);
                 }
-                stop(draft, task, cause);
+                stop(draft, task, cause, None);
             }
         }
         self.failed_on.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
@@ -342,40 +342,46 @@
 }
 
 /// Marks a run to be stopped; if it belongs to a gang, all runs of the gang.
-pub(super) fn stop(draft: &mut Draft<'_>, task: Task, cause: Cause) {
+pub(super) fn stop(draft: &mut Draft<'_>, task: Task, cause: Cause, claim: Option<Claim>) {
     let group = task.group();
     if is_gang(draft, group) {
-        stop_group(draft, group, cause);
+        stop_group(draft, group, cause, claim);
         return;
     }
     for key in draft.order_keys_of(group) {
         if draft.orders[&key].tasks.iter().any(|own| own.index == task.index && !own.stop) {
-            mark_stopped(draft, &key, Some(task.index), cause);
+            mark_stopped(draft, &key, Some(task.index), cause, claim);
         }
     }
 }
 
 /// Marks all runs of a group to be stopped.
-pub(super) fn stop_group(draft: &mut Draft<'_>, group: Group, cause: Cause) {
+pub(super) fn stop_group(draft: &mut Draft<'_>, group: Group, cause: Cause, claim: Option<Claim>) {
     for key in draft.order_keys_of(group) {
         if draft.orders[&key].tasks.iter().any(|task| !task.stop) {
-            mark_stopped(draft, &key, None, cause);
+            mark_stopped(draft, &key, None, cause, claim);
         }
     }
 }
 
 /// Marks one run of an order to be stopped, or all if `index` is `None`.
-fn mark_stopped(draft: &mut Draft<'_>, key: &OrderKey, index: Option<u16>, cause: Cause) {
+fn mark_stopped(
+    draft: &mut Draft<'_>,
+    key: &OrderKey,
+    index: Option<u16>,
+    cause: Cause,
+    claim: Option<Claim>,
+) {
     let mut marked = Vec::new();
     if let Some(order) = draft.order_mut(key) {
         for task in &mut order.tasks {
             if !task.stop && index.is_none_or(|index| index == task.index) {
                 task.stop = true;
-                marked.push(key.1.task(task.index));
+                marked.push((key.1.task(task.index), task.run));
             }
         }
     }
-    for task in marked {
-        draft.add_decision(Decision::Stopped { task, agent: key.0.clone(), cause });
+    for (task, run) in marked {
+        draft.add_decision(Decision::Stopped { task, run, agent: key.0.clone(), cause, claim });
     }
 }
--- a/persimmondrift/src/cell/reclaim.rs
+++ b/persimmondrift/src/cell/reclaim.rs
@@ -102,6 +102,8 @@
     pub task: Task,
     /// Resources that its stop frees.
     pub room: Resources,
+    /// Reported progress of its run, in percent.
+    pub percent: u8,
     /// Cost of its stop, in core-milliseconds; for a member of a gang, of stopping the whole gang.
     pub loss: u64,
     /// Whether its group is a gang, which is stopped as a whole.
