--- a/persimmon-load/src/cell_load.rs
+++ b/persimmon-load/src/cell_load.rs
@@ -11,6 +11,7 @@
 use lexopt::{Arg, ValueExt};
 use persimmondrift::cell::access::{Queue, Workspace};
 use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::planner::{Cause, Decision};
 use persimmondrift::cell::record::State;
 use persimmondrift::unit::Time;
 use standin::cell::{ACCELERATOR_CORES, Cell, queue};
@@ -32,8 +33,8 @@
 const LATE_FACTOR: u64 = 3;
 /// Worth subtracted for each core-second of work that was lost.
 const LOST_WORTH_PER_CORE_SECOND: f64 = 0.0015;
-/// Number of workspaces that submit jobs.
-const WORKSPACES: u32 = 4;
+/// Bound on the start of all tasks of a job that its workspace's guarantee covers.
+const GUARANTEE_BOUND: Duration = Duration::from_millis(3_400);
 /// Share of all accelerators that is guaranteed, divided equally among the workspaces.
 const GUARANTEED_PERCENT: u32 = 62;
 
@@ -79,6 +80,8 @@
     pub workers: usize,
     /// Workers per rack.
     rack: usize,
+    /// Number of workspaces that submit jobs.
+    workspaces: u32,
     kinds: [Kind; 3],
 }
 
@@ -147,15 +150,36 @@
         name: "today",
         workers: 11,
         rack: 3,
+        workspaces: 4,
         kinds: [
             Kind { rate: 0.019, width: 2.0, work_ms: 11_000.0, ..RENDER },
             Kind { rate: 0.022, width: 3.0, ..PREVIEW },
             Kind { rate: 0.012, width: 9.0, ..BOOKING },
         ],
     },
-    Deployment { name: "grown", workers: 57, rack: 4, kinds: [RENDER, PREVIEW, BOOKING] },
+    Deployment {
+        name: "grown",
+        workers: 57,
+        rack: 4,
+        workspaces: 4,
+        kinds: [RENDER, PREVIEW, BOOKING],
+    },
 ];
 
+/// A small deployment with many workspaces, whose jobs ask for twice its room at load 1; urgent jobs
+/// alone ask for nearly all of it, and for twice that in the burst.
+pub const CROWDED: Deployment = Deployment {
+    name: "crowded",
+    workers: 26,
+    rack: 4,
+    workspaces: 24,
+    kinds: [
+        Kind { rate: 0.028, width: 4.6, ..RENDER },
+        Kind { rate: 0.18, width: 5.2, ..PREVIEW },
+        Kind { rate: 0.02, ..BOOKING },
+    ],
+};
+
 /// A job of a replayed list.
 #[derive(Debug, Clone)]
 pub struct Item {
@@ -188,6 +212,10 @@
     pub in_time: [u32; 3],
     /// Number of submitted jobs, by kind.
     pub of_kind: [u32; 3],
+    /// Number of tasks that were placed, each run counted.
+    pub placed: u32,
+    /// Number of runs that were stopped for other jobs.
+    pub reclaimed: u32,
     /// Violated guarantees of the scheduler, such as a task that ran twice; empty in a correct run.
     pub faults: Vec<String>,
 }
@@ -209,6 +237,8 @@
             self.in_time[kind] += other.in_time[kind];
             self.of_kind[kind] += other.of_kind[kind];
         }
+        self.placed += other.placed;
+        self.reclaimed += other.reclaimed;
         self.faults.extend(other.faults.iter().cloned());
     }
 }
@@ -278,7 +308,7 @@
         work: Duration::from_secs_f64(work_ms / 1_000.0),
         size,
         worth: kind.worth * relative,
-        workspace: format!("w{}", rng.u32(..WORKSPACES)),
+        workspace: format!("w{}", rng.u32(..of.workspaces)),
     }
 }
 
@@ -296,14 +326,15 @@
 pub fn run_planner(deployment: &Deployment, items: &[Item]) -> Outcome {
     let mut cell = Cell::with_racks(deployment.workers, deployment.rack);
     let all = u32::try_from(deployment.workers).unwrap_or(u32::MAX) * 8;
-    let guaranteed = all * GUARANTEED_PERCENT / 100 / WORKSPACES;
+    let guaranteed = all * GUARANTEED_PERCENT / 100 / deployment.workspaces;
     cell.config.queues = deployment.kinds.iter().map(queue_config).collect();
-    cell.config.workspaces = (0..WORKSPACES)
+    cell.config.workspaces = (0..deployment.workspaces)
         .map(|number| Workspace { name: format!("w{number}"), keys: Vec::new(), guaranteed })
         .collect();
     cell.run(Duration::from_secs(2));
     let begin = cell.now;
     let mut ends = BTreeMap::new();
+    let mut claims = Claims::default();
     let mut next = 0;
     while cell.now.since(begin) < ARRIVAL_SPAN + COMPLETION_GRACE && ends.len() < items.len() {
         while items.get(next).is_some_and(|item| begin + item.at <= cell.now) {
@@ -318,6 +349,8 @@
         for (id, state) in cell.ended() {
             ends.entry(id).or_insert((cell.now, state));
         }
+        let unfinished = (0..next).filter(|&index| !ends.contains_key(&job_id(index)));
+        claims.check(deployment, &cell, items, unfinished, guaranteed);
     }
     let took = |index: usize| -> Option<Duration> {
         let (at, state) = ends.get(&job_id(index))?;
@@ -326,10 +359,63 @@
     let mut outcome = score(deployment, items, took);
     let lost_ms = u32::try_from(cell.lost_core_ms() / 1_000).unwrap_or(u32::MAX);
     outcome.lost = f64::from(lost_ms) * LOST_WORTH_PER_CORE_SECOND;
+    for decision in &cell.decisions {
+        match decision {
+            Decision::Placed { count, .. } => outcome.placed += count,
+            Decision::Stopped { cause: Cause::Reclaimed, .. } => outcome.reclaimed += 1,
+            _ => {}
+        }
+    }
     outcome.faults = cell.violations;
+    outcome.faults.extend(claims.missed);
     outcome
 }
 
+/// Checks that guaranteed jobs start within their bound.
+#[derive(Debug, Default)]
+struct Claims {
+    /// Begin of the time for which all unfinished jobs of priority 0 of the job's workspace have
+    /// needed no more than is guaranteed, by job that has not started.
+    covered_since: BTreeMap<usize, Time>,
+    missed: Vec<String>,
+}
+
+impl Claims {
+    fn check(
+        &mut self,
+        deployment: &Deployment,
+        cell: &Cell,
+        items: &[Item],
+        unfinished: impl Iterator<Item = usize>,
+        guaranteed: u32,
+    ) {
+        let urgent: Vec<usize> =
+            unfinished.filter(|&index| deployment.kinds[items[index].kind].priority == 0).collect();
+        let need = |index: usize| -> u32 {
+            let step = &items[index].request.steps[0];
+            u32::from(step.width) * step.need.accelerators
+        };
+        let mut needs: BTreeMap<&str, u32> = BTreeMap::new();
+        for &index in &urgent {
+            *needs.entry(&items[index].workspace).or_default() += need(index);
+        }
+        let waits = |index: usize| {
+            cell.starts(job_id(index)) < usize::from(items[index].request.steps[0].width)
+        };
+        let covered = |index: usize| needs[&*items[index].workspace] <= guaranteed;
+        let waiting: Vec<usize> =
+            urgent.into_iter().filter(|&index| covered(index) && waits(index)).collect();
+        self.covered_since.retain(|index, _| waiting.contains(index));
+        for index in waiting {
+            let since = *self.covered_since.entry(index).or_insert(cell.now);
+            if cell.now.since(since) > GUARANTEE_BOUND {
+                self.missed.push(format!("guaranteed job {} waits too long", job_id(index)));
+                self.covered_since.insert(index, cell.now);
+            }
+        }
+    }
+}
+
 fn queue_config(kind: &Kind) -> Queue {
     let (stretch_permille, latency_ms) = (kind.stretch_permille, kind.latency_ms);
     Queue { stretch_permille, latency_ms, ..queue(kind.queue, kind.priority) }
