Ignore an order under another spelling of its key

Callers saw nothing; by test only: a row `vm-0/ID.00.+0` beside `vm-0/ID.0.0` became the same order to a planner, replaced it in its copy, and its tasks were placed again while they ran. The planner then ended the order in each round, since it removed the row under the proper key only.

Cause: occurrence and step were parsed as numbers, and the key was not compared with its one spelling. Evidence: `other_spelling_of_order_key_is_ignored` failed before with "runs twice at once"; it passes now.

--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -37,11 +37,13 @@
     format!("{agent}/{group}")
 }
 
-/// Returns the agent and the group of an order's key; `None` if the key is malformed.
+/// Returns the agent and the group of an order's key; `None` if the key is malformed, or another
+/// spelling of the key that [`order_key`] returns.
 #[must_use]
 pub fn parse_order_key(key: &str) -> Option<(&str, Group)> {
-    let (agent, group) = key.rsplit_once('/')?;
-    Some((agent, group.parse().ok()?))
+    let (agent, text) = key.rsplit_once('/')?;
+    let group: Group = text.parse().ok()?;
+    (group.to_string() == text).then_some((agent, group))
 }
 
 /// Encodes a record as the value of a row.
--- /dev/null
+++ b/persimmondrift/tests/odd_rows.rs
@@ -0,0 +1,85 @@
+//! Rows that another writer has put into the system's tables: such a row costs what it is about, and
+//! nothing else.
+
+use std::time::Duration;
+
+use persimmondrift::cell::job::{Group, Id, Request, Resources, Schedule, Step};
+use persimmondrift::cell::record::{
+    self, Incarnation, Job, Order, OrderTask, Progress, ROLE_KEY, Role, State, Worker,
+};
+use persimmondrift::cell::table::{Table, Write};
+use persimmondrift::unit::Epoch;
+use standin::cell::{self, Cell};
+
+const WORKERS: usize = 3;
+/// A value that no record decodes from.
+const UNREADABLE: &[u8] = &[0xff; 12];
+const WORK: Duration = Duration::from_secs(2);
+
+fn request(width: u16) -> Request {
+    let need = Resources { millicores: 1_000, mebibytes: 1_024, accelerators: 1 };
+    let step = Step { width, need, estimate_ms: 2_000, ..Step::default() };
+    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
+}
+
+/// Returns a job as an entry accepts it.
+fn job(request: Request) -> Job {
+    Job {
+        queue: cell::queue("normal", 1),
+        workspace: None,
+        accepted_ms: 100_000,
+        cancelled: false,
+        request: Some(request),
+    }
+}
+
+fn put(cell: &mut Cell, table: Table, key: &str, value: &[u8]) {
+    cell.rows.write(Write { table, key: key.to_owned(), value: Some(value.to_vec()) });
+}
+
+fn read<T: persimmondrift::cell::codec::Record>(cell: &Cell, table: Table, key: &str) -> Option<T> {
+    cell.rows.get(table, key).and_then(|row| record::decode(row.value.as_deref()?))
+}
+
+/// Creates a cell in which job 1 runs.
+fn cell_with_job(width: u16, work: Duration) -> Cell {
+    let mut cell = Cell::new(WORKERS);
+    cell.run(Duration::from_secs(2));
+    submit(&mut cell, 1, width, work);
+    cell.run(Duration::from_millis(500));
+    cell
+}
+
+fn submit(cell: &mut Cell, id: u64, width: u16, work: Duration) {
+    cell.submit(Id(id), "normal", "ana", request(width));
+    cell.set_work_time(Id(id), work);
+}
+
+fn assert_completes(cell: &mut Cell, id: u64, within: Duration) {
+    let done = |cell: &Cell| cell.state(Id(id)) == Some(State::Completed);
+    assert!(cell.run_until(within, done), "job {id} is {:?}", cell.state(Id(id)));
+    assert_eq!(cell.violations, Vec::<String>::new());
+}
+
+/// Guards against an order under another spelling of its key, which a planner ends in each round and
+/// never removes.
+#[test]
+fn other_spelling_of_order_key_is_ignored() {
+    let mut cell = cell_with_job(4, WORK);
+    let tasks = vec![OrderTask { index: 0, run: 9, checkpoint: String::new(), stop: false }];
+    let order = Order {
+        epoch: Epoch(1),
+        incarnation: Incarnation { started_ms: 7, id: "w".to_owned() },
+        session: 7,
+        need: Resources::default(),
+        tasks,
+    };
+    let group = Group { job: Id(1), occurrence: 0, step: 0 };
+    let key = record::order_key("vm-0", group).replace(".0.0", ".00.+0");
+    put(&mut cell, Table::Orders, &key, &record::encode(&order));
+    assert_completes(&mut cell, 1, Duration::from_secs(6));
+    cell.run(Duration::from_secs(1));
+    let before = cell.decisions.len();
+    cell.run(Duration::from_secs(1));
+    assert_eq!(cell.decisions.len(), before, "the order is ended in each round");
+}
