Keep what is known of a row that another writer has made unreadable

With an unreadable role row there was no planner any more, since each takeover was conditional on version 0; an epoch of 2^64-1 overflowed at the next takeover. With an unreadable report the planner wrote off what still ran, so that tasks ran twice, and the agent's next report was conditional on version 0 and refused for ever.

Cause: a row that could not be decoded counted as removed. Now a copy of a table keeps the last record of such a row, and its version. A planner that has never read a report leaves its orders open until the agent replaces it or its grant has expired. The agent writes over it in the same session. The epoch of a role is bounded by the version of its row, since each holder took a write of its own; without a readable role the version itself is higher than each epoch before.

Evidence: `unreadable_role_is_taken_over`, `absurd_epoch_is_followed` and `unreadable_report_is_replaced` failed before (the job stays in progress; overflow; the job stays in progress), and pass now. The simulated cell keeps the copies of its planner between rounds as an entry does.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -8,7 +8,8 @@
 use super::duty::{Action, Crash, Heartbeat, Listing, Reconciler, StartAnswer};
 use super::grant;
 use super::job::Task;
-use super::record::{self, Incarnation, ROLE_KEY, Role, Worker};
+use super::mirror::Jobs;
+use super::record::{self, Incarnation, ROLE_KEY, Worker};
 use super::report::{Ack, Reporter};
 use super::spec::Specs;
 use super::table::{CALL_TIMEOUT, Calls, Error, PAGE_TIMEOUT, Table};
@@ -302,10 +303,12 @@
     while !shared.stopping() {
         let read = || -> Result<Reporter, Error> {
             let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
-            let role = shared.store.get(Table::Jobs, ROLE_KEY)?;
+            let mut role = Jobs::default();
+            if let Some(row) = shared.store.get(Table::Jobs, ROLE_KEY)? {
+                role.apply(&row);
+            }
             let last: Option<Worker> =
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
-            let role: Option<Role> = role.and_then(|row| record::decode(row.value.as_deref()?));
             let version = row.as_ref().map_or(Version(0), |row| row.version);
             let agent = &shared.identity.agent;
             let reporter = Reporter::new(agent, boot, version, last.as_ref());
@@ -314,7 +317,7 @@
                 let max_lease = shared.identity.max_lease;
                 state.reconciler = Reconciler::new(agent, last.as_ref(), clock::now(), max_lease);
                 state.reconciler.begin_session(reporter.session());
-                state.reconciler.raise_token(role.map_or(Epoch(1), |role| role.epoch));
+                state.reconciler.raise_token(role.role().1.epoch.max(Epoch(1)));
             }
             shared.scan_orders()?;
             Ok(reporter)
--- a/persimmondrift/src/cell/mirror.rs
+++ b/persimmondrift/src/cell/mirror.rs
@@ -7,13 +7,25 @@
 use super::job::Id;
 use super::record::{self, JOB_PREFIX, Job, PROGRESS_PREFIX, Progress, ROLE_KEY, Role, State};
 use super::table::{Row, Snapshot};
-use crate::unit::Version;
+use crate::unit::{Epoch, Version};
+
+/// What is known of a row.
+#[derive(Debug, Clone)]
+struct Known<T> {
+    /// Newest version of the row, whether or not its record could be read.
+    version: Version,
+    /// Newest record that could be read, and its version; `None` if the row was removed.
+    record: Option<(Version, Arc<T>)>,
+    /// Whether the row at `version` exists and could not be read.
+    is_unreadable: bool,
+}
 
 /// Records of one kind by key. A removed row leaves a tombstone, so that older updates of it are
-/// ignored. Copies share the records.
+/// ignored. A row that cannot be read, since another writer has changed it, keeps its last record.
+/// Copies share the records.
 #[derive(Debug, Clone)]
 pub struct Mirror<T> {
-    rows: BTreeMap<String, (Version, Option<Arc<T>>)>,
+    rows: BTreeMap<String, Known<T>>,
 }
 
 impl<T> Default for Mirror<T> {
@@ -26,65 +38,106 @@
     /// Applies a row unless its record is known at this or a newer version. Returns whether it was
     /// applied.
     pub fn apply(&mut self, row: &Row) -> bool {
-        let record = row.value.as_deref().and_then(|value| {
-            let record = record::decode(value);
-            if record.is_none() {
-                crate::warn!(RowRefused, "key={} version={} malformed", row.key, row.version);
-            }
-            record
+        self.apply_checked(row, |_| true)
+    }
+
+    /// Applies a row as [`Self::apply`] does. A record for which `is_valid` returns false counts as one
+    /// that cannot be read.
+    pub fn apply_checked(&mut self, row: &Row, is_valid: impl Fn(&T) -> bool) -> bool {
+        if row.version <= self.newest(&row.key) {
+            return false;
+        }
+        let Some(value) = row.value.as_deref() else {
+            return self.put(&row.key, row.version, None);
+        };
+        if let Some(record) = record::decode(value).filter(is_valid) {
+            return self.put(&row.key, row.version, Some(record));
+        }
+        crate::warn!(RowRefused, "key={} version={} malformed", row.key, row.version);
+        let known = self.rows.entry(row.key.clone()).or_insert_with(|| Known {
+            version: row.version,
+            record: None,
+            is_unreadable: true,
         });
-        self.put(&row.key, row.version, record)
+        (known.version, known.is_unreadable) = (row.version, true);
+        true
     }
 
     /// Applies a record, or its removal, unless it is known at this or a newer version. Returns
     /// whether it was applied.
     pub fn put(&mut self, key: &str, version: Version, record: Option<T>) -> bool {
-        let known = self.rows.get(key).map_or(Version(0), |(version, _)| *version);
-        if version <= known {
+        if version <= self.newest(key) {
             return false;
         }
-        self.rows.insert(key.to_owned(), (version, record.map(Arc::new)));
+        let record = record.map(|record| (version, Arc::new(record)));
+        self.rows.insert(key.to_owned(), Known { version, record, is_unreadable: false });
         true
     }
 
     /// Applies a snapshot of all rows. Rows that are not in it were removed.
     pub fn reset(&mut self, snapshot: &Snapshot) {
+        self.reset_checked(snapshot, |_, _| true);
+    }
+
+    /// Applies a snapshot as [`Self::reset`] does, with a check as in [`Self::apply_checked`].
+    pub fn reset_checked(&mut self, snapshot: &Snapshot, is_valid: impl Fn(&str, &T) -> bool) {
         let kept: Vec<&str> = snapshot.rows.iter().map(|row| row.key.as_str()).collect();
-        for (key, (version, record)) in &mut self.rows {
-            if *version <= snapshot.version && kept.binary_search(&key.as_str()).is_err() {
-                *record = None;
-                *version = snapshot.version;
+        for (key, known) in &mut self.rows {
+            if known.version <= snapshot.version && kept.binary_search(&key.as_str()).is_err() {
+                *known = Known { version: snapshot.version, record: None, is_unreadable: false };
             }
         }
         for row in &snapshot.rows {
-            self.apply(row);
+            self.apply_checked(row, |record| is_valid(&row.key, record));
         }
     }
 
     /// Drops the tombstones of rows that were removed up to a version.
     pub fn prune(&mut self, up_to: Version) {
-        self.rows.retain(|_, (version, record)| record.is_some() || *version > up_to);
+        self.rows.retain(|_, known| {
+            known.record.is_some() || known.is_unreadable || known.version > up_to
+        });
     }
 
     /// Returns a record; `None` if it does not exist.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&T> {
-        self.rows.get(key)?.1.as_deref()
+        let (_, record) = self.rows.get(key)?.record.as_ref()?;
+        Some(record)
     }
 
-    /// Returns the version of a row that exists, or 0.
+    /// Returns the version of a row that exists, readable or not, or 0.
     #[must_use]
     pub fn version(&self, key: &str) -> Version {
         match self.rows.get(key) {
-            Some((version, Some(_))) => *version,
+            Some(known) if known.record.is_some() || known.is_unreadable => known.version,
             _ => Version(0),
         }
     }
 
-    /// Returns the existing records in the order of their keys.
+    /// Returns whether a row exists that could not be read.
+    #[must_use]
+    pub fn is_unreadable(&self, key: &str) -> bool {
+        self.rows.get(key).is_some_and(|known| known.is_unreadable)
+    }
+
+    /// Returns the keys of the rows of which no record could be read.
+    pub fn unread(&self) -> impl Iterator<Item = &str> {
+        let unread = |known: &Known<T>| known.is_unreadable && known.record.is_none();
+        self.rows.iter().filter(move |(_, known)| unread(known)).map(|(key, _)| &**key)
+    }
+
+    /// Returns the existing records in the order of their keys, each with the version at which it was
+    /// read.
     pub fn iter(&self) -> impl Iterator<Item = (&str, Version, &T)> {
-        let known = self.rows.iter();
-        known.filter_map(|(key, (version, record))| Some((&**key, *version, record.as_deref()?)))
+        self.rows.iter().filter_map(|(key, known)| {
+            let (version, record) = known.record.as_ref()?;
+            Some((&**key, *version, &**record))
+        })
+    }
+
+    fn newest(&self, key: &str) -> Version {
+        self.rows.get(key).map_or(Version(0), |known| known.version)
     }
 }
 
@@ -135,11 +188,15 @@
         self.progress.prune(up_to);
     }
 
-    /// Returns the role and the version of its row.
+    /// Returns the role and the version of its row. Its epoch is higher than no possible one, and not
+    /// lower than any that was in the row, even if the row cannot be read.
     #[must_use]
     pub fn role(&self) -> (Version, Role) {
+        let version = self.role.version(ROLE_KEY);
         let role = self.role.get(ROLE_KEY).cloned().unwrap_or_default();
-        (self.role.version(ROLE_KEY), role)
+        let limit = Epoch::limit(version);
+        let epoch = if self.role.is_unreadable(ROLE_KEY) { limit } else { role.epoch.min(limit) };
+        (version, Role { epoch, ..role })
     }
 
     /// Returns an accepted job.
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -62,6 +62,8 @@
         let input = draft.input;
         let worker = input.workers.get(agent);
         let order_state = match worker {
+            // Its agent replaces the report, or has its grant expire.
+            None if input.workers.is_unreadable(agent) => OrderState::Open,
             None => OrderState::Closed,
             Some(worker) if worker.incarnation != order.incarnation => OrderState::Closed,
             Some(worker) if worker.session != order.session || worker.revoked => OrderState::Closed,
--- a/persimmondrift/src/cell/planner/watch.rs
+++ b/persimmondrift/src/cell/planner/watch.rs
@@ -40,7 +40,10 @@
                 }
             }
         }
-        self.last_reports.retain(|agent, _| input.workers.get(agent).is_some());
+        for agent in input.workers.unread() {
+            self.last_reports.entry(agent.to_owned()).or_insert((Version(0), input.now));
+        }
+        self.last_reports.retain(|agent, _| input.workers.version(agent) != Version(0));
     }
 
     /// Returns whether an agent has reported recently enough to be given work.
@@ -56,7 +59,7 @@
         if input.now.since(read) > MAX_READ_AGE {
             return;
         }
-        for (agent, version, worker) in input.workers.iter() {
+        for (agent, _, worker) in input.workers.iter() {
             let silent = self.time_since_report(input.now, agent);
             if silent < self.settings.grant + LAPSE_MARGIN {
                 continue;
@@ -72,8 +75,19 @@
                 None
             };
             // The write is refused if the agent has reported in the meantime.
+            let version = input.workers.version(agent);
             draft.add_row_update(Table::Workers, agent.to_owned(), version, value);
         }
+        for agent in input.workers.unread() {
+            let silent = self.time_since_report(input.now, agent);
+            if silent >= self.settings.grant + LAPSE_MARGIN && has_orders(draft, agent) {
+                let silent_ms = u64::try_from(silent.as_millis()).unwrap_or(u64::MAX);
+                draft.add_decision(Decision::Revoked { agent: agent.to_owned(), silent_ms });
+                let value = record::encode(&Worker { revoked: true, ..Worker::default() });
+                let version = input.workers.version(agent);
+                draft.add_row_update(Table::Workers, agent.to_owned(), version, Some(value));
+            }
+        }
     }
 }
 
--- a/persimmondrift/src/cell/report.rs
+++ b/persimmondrift/src/cell/report.rs
@@ -8,6 +8,7 @@
 use super::record::{self, Worker};
 use super::table::{Batch, Condition, Outcome, Table, Write};
 use crate::unit::Version;
+use crate::warn;
 
 /// What the outcome of a commit means for the agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,11 +74,18 @@
                 if self.must_reread { Ack::RereadOrders } else { Ack::Granted }
             }
             Outcome::Refused(rows) => {
-                let row = rows.iter().find(|row| row.key == self.agent);
+                let row = rows.iter().find(|row| row.key == self.agent && row.value.is_some());
                 let found: Option<Worker> =
                     row.and_then(|row| record::decode(row.value.as_deref()?));
-                self.version = found.as_ref().and(row).map_or(Version(0), |row| row.version);
-                if found.is_some_and(|found| found.boot == self.boot && !found.revoked) {
+                self.version = row.map_or(Version(0), |row| row.version);
+                // A row that cannot be read was not written by a planner, so nothing was revoked.
+                let is_unreadable = row.is_some() && found.is_none();
+                if is_unreadable {
+                    warn!(RowRefused, "key={} version={} malformed", self.agent, self.version);
+                }
+                if is_unreadable
+                    || found.is_some_and(|found| found.boot == self.boot && !found.revoked)
+                {
                     return Ack::Resend;
                 }
                 self.must_reread = true;
--- a/persimmondrift/src/unit.rs
+++ b/persimmondrift/src/unit.rs
@@ -275,6 +275,13 @@
     pub fn next(self) -> Self {
         Self(self.0 + 1)
     }
+
+    /// Returns the highest epoch that a row of this version can hold: each holder of a role takes a
+    /// write of its own.
+    #[must_use]
+    pub fn limit(version: Version) -> Self {
+        Self(version.0)
+    }
 }
 
 impl From<Millis> for Duration {
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -61,6 +61,40 @@
     assert_eq!(cell.violations, Vec::<String>::new());
 }
 
+/// Guards against entries of which none can take the role, since its row cannot be decoded.
+#[test]
+fn unreadable_role_is_taken_over() {
+    let mut cell = cell_with_job(4, WORK);
+    put(&mut cell, Table::Jobs, ROLE_KEY, UNREADABLE);
+    assert_completes(&mut cell, 1, Duration::from_secs(6));
+    let role: Option<Role> = read(&cell, Table::Jobs, ROLE_KEY);
+    assert!(role.is_some_and(|role| role.epoch > Epoch(1)), "the epoch begins anew");
+}
+
+/// Guards against an epoch that none can follow.
+#[test]
+fn absurd_epoch_is_followed() {
+    let mut cell = cell_with_job(4, WORK);
+    let role = Role { holder: "other".to_owned(), epoch: Epoch(u64::MAX), tag: 1 };
+    put(&mut cell, Table::Jobs, ROLE_KEY, &record::encode(&role));
+    assert_completes(&mut cell, 1, Duration::from_secs(6));
+}
+
+/// Guards against tasks that are placed again while they run, and an agent that never reports again,
+/// since the agent's report cannot be decoded.
+#[test]
+fn unreadable_report_is_replaced() {
+    let mut cell = cell_with_job(24, Duration::from_secs(3));
+    for vm in 0..WORKERS {
+        put(&mut cell, Table::Workers, &format!("vm-{vm}"), UNREADABLE);
+        cell.run(Duration::from_millis(150));
+    }
+    assert_completes(&mut cell, 1, Duration::from_secs(20));
+    let reports: Vec<Option<Worker>> =
+        (0..WORKERS).map(|vm| read(&cell, Table::Workers, &format!("vm-{vm}"))).collect();
+    assert!(reports.iter().all(Option::is_some), "{reports:?}");
+}
+
 /// Guards against an order under another spelling of its key, which a planner ends in each round and
 /// never removes.
 #[test]
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -44,6 +44,14 @@
     lost_start: Option<(Time, Task, u32)>,
 }
 
+/// Copies of the tables in an entry.
+#[derive(Debug, Default)]
+struct Mirrors {
+    jobs: Jobs,
+    orders: Mirror<Order>,
+    workers: Mirror<Worker>,
+}
+
 /// A VM with a worker and its agent.
 #[derive(Debug)]
 struct Vm {
@@ -68,6 +76,8 @@
     pub config: Config,
     vms: Vec<Vm>,
     planner: Option<(Planner, Term)>,
+    /// What the entry that plans has read.
+    mirrors: Mirrors,
     takeover_blocked: bool,
     /// Limits of the planner's batches.
     pub batch_limits: split::Limits,
@@ -166,6 +176,7 @@
             config,
             vms: vms.collect(),
             planner: None,
+            mirrors: Mirrors::default(),
             takeover_blocked: false,
             batch_limits: split::Limits::default(),
             max_row_bytes: MAX_ROW_BYTES,
@@ -474,7 +485,13 @@
         if self.takeover_blocked {
             return;
         }
-        let jobs = self.jobs();
+        if self.planner.is_none() {
+            self.mirrors = Mirrors::default();
+        }
+        let Mirrors { jobs, orders, workers } = &mut self.mirrors;
+        jobs.reset(self.rows.snapshot(Table::Jobs));
+        orders.reset(&self.rows.snapshot(Table::Orders));
+        workers.reset(&self.rows.snapshot(Table::Workers));
         if self.planner.is_none() {
             let (version, role) = jobs.role();
             let settings = planner::Settings {
@@ -483,23 +500,19 @@
                 gang_wait: Duration::from_secs(3),
                 report_interval: REPORT_INTERVAL,
             };
-            let term = Term::new(version, Epoch(role.epoch.0 + 1));
+            let term = Term::new(version, role.epoch.next());
             self.planner = Some((Planner::new(settings), term));
         }
         let Some((planner, term)) = &mut self.planner else {
             return;
         };
-        let mut orders = Mirror::<Order>::default();
-        orders.reset(&self.rows.snapshot(Table::Orders));
-        let mut workers = Mirror::<Worker>::default();
-        workers.reset(&self.rows.snapshot(Table::Workers));
         let plan = planner.plan(Input {
             now: self.now,
             wall_ms: self.now.0 / 1_000,
             config: &self.config,
-            jobs: &jobs,
-            orders: &orders,
-            workers: &workers,
+            jobs,
+            orders,
+            workers,
             reports_read: Some(self.now),
             epoch: term.epoch,
         });
