Refuse rows of jobs beyond the limits, and progress of another size

Callers saw nothing; by test only. A job row with 2^32-1 occurrences of 65,535 tasks ended each planner that read it: the allocation of its progress fails, and the process aborts. Progress with fewer tasks than its job counted as complete, so the job was shown as completed and never ran.

Cause: only entries checked a request, when it arrived. Now the copy of the jobs checks it too, and the size of progress. Progress that can't be used is rebuilt from the orders, so that nothing that runs is placed again. The check itself no longer sums more widths than a job may have steps.

Evidence: `job_beyond_limits_is_refused` aborted and `progress_of_another_size_is_refused` failed before; both pass now.

--- a/persimmondrift/src/cell/job.rs
+++ b/persimmondrift/src/cell/job.rs
@@ -296,12 +296,12 @@
     ///
     /// Returns the [`Error`] of the first rule that is broken.
     pub fn check(&self) -> Result<(), Error> {
-        let tasks: u32 = self.steps.iter().map(|step| u32::from(step.width)).sum();
-        let tasks = tasks.saturating_mul(self.occurrences().min(MAX_TASKS));
-        if self.steps.is_empty() || self.steps.len() > MAX_STEPS || tasks == 0 {
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::Size);
         }
-        if tasks > MAX_TASKS {
+        let tasks: u32 = self.steps.iter().map(|step| u32::from(step.width)).sum();
+        let tasks = tasks.saturating_mul(self.occurrences());
+        if tasks == 0 || tasks > MAX_TASKS {
             return Err(Error::Size);
         }
         for (number, step) in self.steps.iter().enumerate() {
--- a/persimmondrift/src/cell/mirror.rs
+++ b/persimmondrift/src/cell/mirror.rs
@@ -157,8 +157,10 @@
     pub fn apply(&mut self, row: &Row) -> bool {
         match row.key.as_str() {
             ROLE_KEY => self.role.apply(row),
-            key if key.starts_with(JOB_PREFIX) => self.accepted.apply(row),
-            key if key.starts_with(PROGRESS_PREFIX) => self.progress.apply(row),
+            key if key.starts_with(JOB_PREFIX) => self.accepted.apply_checked(row, Job::is_valid),
+            key if key.starts_with(PROGRESS_PREFIX) => self
+                .progress
+                .apply_checked(row, |progress| has_size(&self.accepted, &row.key, progress)),
             _ => false,
         }
     }
@@ -178,8 +180,9 @@
         }
         let [role, accepted, progress] = parts.map(|rows| Snapshot { rows, version, now_ms });
         self.role.reset(&role);
-        self.accepted.reset(&accepted);
-        self.progress.reset(&progress);
+        self.accepted.reset_checked(&accepted, |_, job| job.is_valid());
+        let Self { accepted, progress: own, .. } = self;
+        own.reset_checked(&progress, |key, progress| has_size(accepted, key, progress));
     }
 
     /// Drops the tombstones of jobs and progress that were removed up to a version.
@@ -229,3 +232,12 @@
         of_queue.filter(|(key, _, _)| waits(key)).count()
     }
 }
+
+/// Returns whether the progress of a job has the size of the job, if that is known. An ended job may
+/// keep less.
+fn has_size(jobs: &Mirror<Job>, key: &str, progress: &Progress) -> bool {
+    let id = key.strip_prefix(PROGRESS_PREFIX).unwrap_or_default();
+    let job = jobs.get(&format!("{JOB_PREFIX}{id}"));
+    let request = job.and_then(|job| job.request.as_ref());
+    request.is_none_or(|request| progress.state.is_final() || progress.fits(request))
+}
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -5,7 +5,7 @@
 
 use super::{Decision, Input, Plan, request_of};
 use crate::cell::job::{Group, Id, Request};
-use crate::cell::record::{self, Order, Progress};
+use crate::cell::record::{self, Order, Phase, Progress, State};
 use crate::cell::table::{Batch, Condition, MAX_BATCH_ENTRIES, Table, Write};
 use crate::unit::Version;
 
@@ -16,6 +16,26 @@
 /// The agent and the group that an order is for.
 pub type OrderKey = (String, Group);
 
+/// Returns the progress of a job that has none that can be read: that of a new job, and of the runs
+/// that are ordered.
+fn rebuild(id: Id, request: &Request, orders: &BTreeMap<OrderKey, Order>) -> Progress {
+    let mut progress = Progress::new(request);
+    for ((_, group), order) in orders.iter().filter(|((_, group), _)| group.job == id) {
+        let tasks = progress.group_mut(request, *group);
+        for own in &order.tasks {
+            if let Some(task) = tasks.get_mut(usize::from(own.index)) {
+                task.phase = Phase::Ordered;
+                task.run = task.run.max(own.run);
+                task.checkpoint.clone_from(&own.checkpoint);
+            }
+        }
+    }
+    if progress.tasks.iter().any(|task| task.phase != Phase::Waiting) {
+        progress.state = State::Running;
+    }
+    progress
+}
+
 /// The rows of a round, overlaid with its changes.
 pub struct Draft<'a> {
     pub input: Input<'a>,
@@ -130,9 +150,11 @@
 
     fn load(&mut self, id: Id, request: &Request) -> &mut Progress {
         let jobs = self.input.jobs;
+        let orders = &self.orders;
         self.progress.entry(id).or_insert_with(|| {
             let known = jobs.progress.get(&record::progress_key(id));
-            known.cloned().unwrap_or_else(|| Progress::new(request))
+            let usable = |progress: &&Progress| progress.state.is_final() || progress.fits(request);
+            known.filter(usable).cloned().unwrap_or_else(|| rebuild(id, request, orders))
         })
     }
 }
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -70,12 +70,16 @@
     /// Creates the progress of a job of which no task has run.
     #[must_use]
     pub fn new(request: &Request) -> Self {
-        let steps: usize = request.steps.iter().map(|step| usize::from(step.width)).sum();
-        let occurrences = usize::try_from(request.occurrences()).unwrap_or(usize::MAX);
-        let tasks = vec![TaskProgress::default(); steps.saturating_mul(occurrences)];
+        let tasks = vec![TaskProgress::default(); size(request)];
         Self { state: State::Queued, ended_ms: 0, tasks }
     }
 
+    /// Returns whether it has as many tasks as the job.
+    #[must_use]
+    pub fn fits(&self, request: &Request) -> bool {
+        self.tasks.len() == size(request)
+    }
+
     /// Returns the progress of the tasks of a group, in the order of their indices.
     #[must_use]
     pub fn group(&self, request: &Request, group: Group) -> &[TaskProgress] {
@@ -244,6 +248,12 @@
     }
 }
 
+/// Returns the number of tasks of a job.
+fn size(request: &Request) -> usize {
+    let steps: usize = request.steps.iter().map(|step| usize::from(step.width)).sum();
+    steps.saturating_mul(usize::try_from(request.occurrences()).unwrap_or(usize::MAX))
+}
+
 /// Returns the range of the tasks of a group within all tasks of its job.
 fn task_range(request: &Request, group: Group) -> std::ops::Range<usize> {
     let width = |steps: &[Step]| steps.iter().map(|step| usize::from(step.width)).sum::<usize>();
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -79,6 +79,14 @@
     pub request: Option<Request>,
 }
 
+impl Job {
+    /// Returns whether what it asks for is within the limits that entries check.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.request.as_ref().is_none_or(|request| request.check().is_ok())
+    }
+}
+
 /// Scheduling phase of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Phase {
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -95,6 +95,36 @@
     assert!(reports.iter().all(Option::is_some), "{reports:?}");
 }
 
+/// Guards against planners that end one after the other, since a job has more tasks than memory holds.
+#[test]
+fn job_beyond_limits_is_refused() {
+    let mut cell = cell_with_job(4, WORK);
+    let mut huge = request(u16::MAX);
+    huge.schedule = Some(Schedule { first_ms: 0, every_ms: 0, times: u32::MAX });
+    let mut cyclic = request(1);
+    cyclic.steps[0].after = vec![0, u16::MAX];
+    for (id, request) in [(8, huge), (9, cyclic)] {
+        let row = record::encode(&job(request));
+        put(&mut cell, Table::Jobs, &record::job_key(Id(id)), &row);
+    }
+    assert_completes(&mut cell, 1, Duration::from_secs(6));
+    assert_eq!(cell.state(Id(8)), None);
+    assert_eq!(cell.starts(Id(9)), 0);
+}
+
+/// Guards against a job that counts as completed although none of its tasks has run.
+#[test]
+fn progress_of_another_size_is_refused() {
+    let mut cell = Cell::new(WORKERS);
+    let short = Progress { state: State::Running, ..Progress::default() };
+    put(&mut cell, Table::Jobs, &record::progress_key(Id(1)), &record::encode(&short));
+    submit(&mut cell, 1, 4, WORK);
+    cell.run(Duration::from_secs(1));
+    assert_ne!(cell.state(Id(1)), Some(State::Completed));
+    assert_completes(&mut cell, 1, Duration::from_secs(6));
+    assert_eq!(cell.starts(Id(1)), 4);
+}
+
 /// Guards against an order under another spelling of its key, which a planner ends in each round and
 /// never removes.
 #[test]
