--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -51,10 +51,13 @@
     fn ended_runs(&self, draft: &Draft<'_>, key: &OrderKey) -> Vec<(End, Basis)> {
         let (agent, group) = key;
         let order = &draft.orders[key];
-        let worker = draft.input.workers.get(agent);
+        let workers = draft.input.workers;
+        let worker = workers.get(agent);
         // If the worker's incarnation or the agent's session is over, all runs have ended, listed
         // or not.
         let closed = match worker {
+            // Its agent replaces the report, or has its grant expire.
+            None if workers.is_unreadable(agent) => None,
             None => Some(Basis::NoReport),
             Some(worker) if worker.incarnation != order.incarnation => Some(Basis::Incarnation),
             Some(worker) if worker.session != order.session => Some(Basis::Session),
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -37,11 +37,13 @@
     format!("{agent}/{group}")
 }
 
-/// Returns the agent and the group of an order's key; `None` if the key is malformed.
+/// Returns the agent and the group of an order's key; `None` if the key is malformed, or another
+/// spelling of the key that [`order_key`] returns.
 #[must_use]
 pub fn parse_order_key(key: &str) -> Option<(&str, Group)> {
-    let (agent, group) = key.rsplit_once('/')?;
-    Some((agent, group.parse().ok()?))
+    let (agent, text) = key.rsplit_once('/')?;
+    let group: Group = text.parse().ok()?;
+    (group.to_string() == text).then_some((agent, group))
 }
 
 /// Encodes a record as the value of a row.
@@ -77,6 +79,14 @@
     pub request: Option<Request>,
 }
 
+impl Job {
+    /// Returns whether what it asks for is within the limits that entries check.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.request.as_ref().is_none_or(|request| request.check().is_ok())
+    }
+}
+
 /// Scheduling phase of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Phase {
