Report less often while the store is slow to answer

From 24 s on reports waited longer than a call's timeout and were sent again while the first copies still waited: no report of many agents was answered for seconds, their sessions were revoked and what their workers ran was written off.

An agent now stretches its interval from 800 ms up to 1,600 ms while commits are slow, and spaces its urgent reports likewise.

--- a/persimmondrift/src/cell.rs
+++ b/persimmondrift/src/cell.rs
@@ -29,6 +29,7 @@
 pub mod duty;
 pub mod follow;
 pub mod grant;
+pub mod pace;
 pub mod report;
 pub mod spec;
 
--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -8,6 +8,7 @@
 use super::duty::{Action, Crash, Heartbeat, Listing, Reconciler, StartAnswer};
 use super::grant;
 use super::job::Task;
+use super::pace::Pace;
 use super::record::{self, Incarnation, ROLE_KEY, Role, Worker};
 use super::report::{Ack, Reporter};
 use super::spec::Specs;
@@ -15,8 +16,6 @@
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
-/// Interval of an agent's reports while nothing changes.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// Maximum wait for changed orders in one call. A dead connection is noticed only after it, so it
 /// is a part of the time that a gang's members wait for each other.
 const WATCH_WAIT: Duration = Duration::from_millis(1_600);
@@ -245,10 +244,12 @@
         return;
     };
     let mut last = Time(0);
+    let mut pace = Pace::default();
     loop {
         let mut state = shared.lock();
-        while !state.urgent && !state.stopping {
-            let left = REPORT_INTERVAL.saturating_sub(clock::now().since(last));
+        while !state.stopping {
+            let pause = if state.urgent { pace.min_gap() } else { pace.interval() };
+            let left = pause.saturating_sub(clock::now().since(last));
             if left.is_zero() {
                 break;
             }
@@ -268,6 +269,10 @@
         drop(state);
         last = sent;
         let outcome = (shared.store.commit)(&reporter.batch(worker), CALL_TIMEOUT);
+        match &outcome {
+            Ok(_) => pace.record_commit(clock::now().since(sent)),
+            Err(_) => pace.record_unanswered(),
+        }
         let next = fastrand::u64(1..);
         let granted = match outcome.as_ref().map(|outcome| reporter.handle_outcome(outcome, next)) {
             Ok(Ack::Granted) => true,
--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -363,6 +363,6 @@
         grant: settings.grant,
         retention: settings.keep,
         gang_wait: settings.gang_wait,
-        report_interval: super::agent::REPORT_INTERVAL,
+        report_interval: super::pace::REPORT_INTERVAL,
     }
 }
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use persimmondrift::cell::access::{Config, Queue, Workspace};
-use persimmondrift::cell::agent::REPORT_INTERVAL;
 use persimmondrift::cell::duty::{Action, Heartbeat, Reconciler, StartAnswer};
 use persimmondrift::cell::entry::Settings;
 use persimmondrift::cell::grant;
 use persimmondrift::cell::job::{Id, Request, Task};
 use persimmondrift::cell::mirror::{Jobs, Mirror};
+use persimmondrift::cell::pace::REPORT_INTERVAL;
 use persimmondrift::cell::planner::{self, Decision, Input, Observation, Planner};
 use persimmondrift::cell::record::{self, Job, Order, State, Worker};
 use persimmondrift::cell::report::{Ack, Reporter};
