--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -9,6 +9,7 @@
 use super::grant;
 use super::job::Task;
 use super::mirror::Jobs;
+use super::pace::{Pace, REPORT_INTERVAL};
 use super::record::{self, Incarnation, ROLE_KEY, Worker};
 use super::report::{Ack, Reporter};
 use super::spec::Specs;
@@ -16,8 +17,6 @@
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
-/// Interval of an agent's reports while nothing changes.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// Time between two stored reports from which on the second one is logged.
 const LOGGED_GAP: Duration = REPORT_INTERVAL.saturating_mul(3);
 /// Maximum wait for changed orders in one call. A dead connection is noticed only after it, so it
@@ -249,10 +248,12 @@
     };
     let mut last = Time(0);
     let (mut stored, mut calls) = (clock::now(), 0_u32);
+    let mut pace = Pace::default();
     loop {
         let mut state = shared.lock();
-        while !state.urgent && !state.stopping {
-            let left = REPORT_INTERVAL.saturating_sub(clock::now().since(last));
+        while !state.stopping {
+            let pause = if state.urgent { pace.min_gap() } else { pace.interval() };
+            let left = pause.saturating_sub(clock::now().since(last));
             if left.is_zero() {
                 break;
             }
@@ -273,6 +274,10 @@
         last = sent;
         calls = calls.saturating_add(1);
         let outcome = (shared.store.commit)(&reporter.batch(worker), CALL_TIMEOUT);
+        match &outcome {
+            Ok(_) => pace.record_commit(clock::now().since(sent)),
+            Err(_) => pace.record_unanswered(),
+        }
         let next = fastrand::u64(1..);
         let granted = match outcome.as_ref().map(|outcome| reporter.handle_outcome(outcome, next)) {
             Ok(Ack::Granted) => true,
