Send a worker nothing but a bare poll after a poll has failed

After a crash of a worker, the agent went on with starts, leases and acknowledgements for the incarnation that it knew. A next one with the same id takes them: a start that nothing counts any more, a lease with a deadline on the old clock, and an acknowledgement of ends that it has numbered anew, so that an end is discarded before it is read and its task, although done, is started again.

A failed poll is the first sign of a crash, since the worker's connections end with it. From then on, or when the last answer is more than a second old, a poll carries neither lease nor acknowledgement and no start is sent, until a listing shows which incarnation is up. As long as polls are answered, nothing changes for starts. An acknowledgement is sent only while the last listing still has ends up to it: each poll repeated the last one, and any of them may be carried out late.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -389,7 +389,7 @@
             };
             let poll = Poll {
                 deadline_ms: lease_deadline_ms,
-                ack_cursor: state.reconciler.ack_cursor(),
+                ack_cursor: state.reconciler.ack_cursor(sent),
                 wait,
             };
             (Shared::addressee(&state), poll, sent)
@@ -411,6 +411,7 @@
             drop(state);
             shared.changed.notify_all();
         } else {
+            state.reconciler.poll_failed();
             if state.reconciler.end_lapsed(now) {
                 warn!(LeaseLapsed, "life={}", state.reconciler.incarnation());
                 state.urgent = true;
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -192,6 +192,10 @@
     clock: Option<WorkerClock>,
     /// When the worker last answered a poll.
     last_answer: Option<Time>,
+    /// Whether the last poll was answered. If not, another incarnation may be up.
+    is_confirmed: bool,
+    /// Lowest number of an end in the last listing; `None` if it had none.
+    first_listed: Option<u64>,
     grant_until: Time,
     /// End of the longest lease that the worker may hold.
     lease_until: Time,
@@ -246,6 +250,8 @@
                 .unwrap_or_default(),
             clock: None,
             last_answer: None,
+            is_confirmed: false,
+            first_listed: None,
             grant_until: Time(0),
             lease_until: if last.is_some() { now + max_lease } else { Time(0) },
             max_lease,
@@ -347,10 +353,24 @@
         self.listed
     }
 
-    /// Returns the number up to which the worker may discard ends.
+    /// Returns the number up to which the worker may discard ends; 0 if it has discarded them, or if
+    /// another incarnation may be up, whose ends of these numbers were not read.
     #[must_use]
-    pub fn ack_cursor(&self) -> u64 {
-        self.ack_cursor
+    pub fn ack_cursor(&self, now: Time) -> u64 {
+        let has_them = self.first_listed.is_some_and(|first| first <= self.ack_cursor);
+        if has_them && self.is_answering(now) { self.ack_cursor } else { 0 }
+    }
+
+    /// Records that a poll got no answer. Until one does, the worker is started nothing on, and neither
+    /// its lease is renewed nor are its ends acknowledged, since another incarnation may be up.
+    pub fn poll_failed(&mut self) {
+        self.is_confirmed = false;
+    }
+
+    /// Returns whether the last poll was answered, and not long ago.
+    fn is_answering(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) <= RENEWAL_CUTOFF;
+        self.is_confirmed && self.last_answer.is_some_and(is_recent)
     }
 
     /// Returns the fencing token of the next call.
@@ -391,6 +411,8 @@
         }
         self.clock = Some(WorkerClock { reading_ms: listing.clock_ms, read_at: now });
         self.last_answer = Some(now);
+        self.is_confirmed = true;
+        self.first_listed = listing.finished.iter().map(|(number, ..)| *number).min();
         // The worker was silent but has not crashed.
         self.losses.retain(|(loss, _)| loss.crashed);
         for (task, run, checkpoint, percent) in &listing.running {
@@ -510,7 +532,8 @@
     #[must_use]
     pub fn may_send_start(&self, now: Time, task: Task, run: u32) -> bool {
         let draining = self.last_heartbeat.as_ref().is_some_and(|worker| worker.draining);
-        let startable = self.runs.get(&(task, run)).filter(|run| !run.stop && !draining);
+        let takes = self.is_confirmed && !draining;
+        let startable = self.runs.get(&(task, run)).filter(|run| !run.stop && takes);
         startable.zip(self.capacity(now)).is_some_and(|(run, capacity)| {
             // Its resources are counted since it was chosen.
             fits(capacity, self.used(), run.need)
@@ -599,7 +622,7 @@
     /// none may be given. The lease of a worker that does not answer is left to lapse, so that its
     /// end is known.
     fn deadline(&self, now: Time) -> Option<u64> {
-        if now.since(self.last_answer?) > RENEWAL_CUTOFF {
+        if !self.is_answering(now) {
             return None;
         }
         self.clock?.deadline_ms(now, self.grant_until)
@@ -665,6 +688,8 @@
         self.drain_deadline = None;
         self.clock = None;
         self.last_answer = None;
+        self.is_confirmed = false;
+        self.first_listed = None;
         // The clock of the next incarnation begins anew, so it may hold what is left for a full lease.
         self.lease_until = if self.runs.is_empty() { Time(0) } else { now + self.max_lease };
         self.listed = 0;
--- a/persimmondrift/tests/bounded_report.rs
+++ b/persimmondrift/tests/bounded_report.rs
@@ -105,7 +105,7 @@
     /// Polls the worker, which discards the ends that are acknowledged. Each must be in the stored
     /// report, or the planner has taken it in.
     fn list(&mut self) {
-        let acknowledged = self.agent.ack_cursor();
+        let acknowledged = self.agent.ack_cursor(BEGIN);
         let stored = self.stored();
         for (_, end) in self.finished.extract_if(..=acknowledged, |_, _| true) {
             let known = stored.ends.contains(&end) || self.processed.contains_key(&end.task.index);
--- a/persimmondrift/tests/capacity_changes.rs
+++ b/persimmondrift/tests/capacity_changes.rs
@@ -519,7 +519,7 @@
     let listed = agent.listed();
     agent.heartbeat(BEGIN, heartbeat(2, 1, accelerators(8)));
     agent.report_stored(BEGIN, MAX_LEASE, listed);
-    assert_eq!(agent.ack_cursor(), 0, "ends of the new incarnation are not stored yet");
+    assert_eq!(agent.ack_cursor(BEGIN), 0, "ends of the new incarnation are not stored yet");
 }
 
 /// What runs at the restart of an agent counts, also while it is being stopped, on a worker that shrinks
--- a/persimmondrift/tests/same_id_restart.rs
+++ b/persimmondrift/tests/same_id_restart.rs
@@ -301,6 +301,59 @@
     }
 }
 
+/// Guards against a start that the next incarnation takes, although a failed poll shows that the worker is
+/// not up as before.
+#[test]
+fn no_start_after_failed_poll() {
+    let mut agent = agent();
+    send_start(&mut agent, at(100));
+    agent.poll_failed();
+    assert!(!agent.may_send_start(at(110), task(), RUN));
+    agent.start_answered(at(110), task(), RUN, StartAnswer::NotSent);
+    assert_eq!(agent.next_call(at(300)), None);
+    agent.apply_listing(at(310), at(311), &listing(1, false));
+    send_start(&mut agent, at(320));
+    assert!(agent.may_send_start(at(321), task(), RUN));
+}
+
+/// Guards against ends of the next incarnation that are discarded unread, and a lease in it that ends
+/// late, since a poll was meant for the incarnation before.
+#[test]
+fn poll_after_failed_poll() {
+    let mut agent = agent();
+    agent.apply_listing(at(100), at(101), &listed_end(1, Ending::Done));
+    let listed = agent.listed();
+    agent.report_stored(at(110), MAX_LEASE, listed);
+    assert_eq!(agent.ack_cursor(at(110)), 1);
+    assert!(agent.renew_lease(at(110)).is_some());
+    agent.poll_failed();
+    assert_eq!((agent.ack_cursor(at(120)), agent.renew_lease(at(120))), (0, None));
+    agent.apply_listing(at(130), at(131), &listed_end(1, Ending::Done));
+    assert_eq!(agent.ack_cursor(at(140)), 1);
+    assert!(agent.renew_lease(at(140)).is_some());
+}
+
+#[test]
+fn poll_after_long_silence() {
+    let mut agent = agent();
+    agent.apply_listing(at(100), at(101), &listed_end(1, Ending::Done));
+    let listed = agent.listed();
+    agent.report_stored(at(110), MAX_LEASE, listed);
+    assert_eq!((agent.ack_cursor(at(1_200)), agent.renew_lease(at(1_200))), (0, None));
+}
+
+/// Guards against polls that repeat an acknowledgement: any of them may be carried out seconds later.
+#[test]
+fn ends_acknowledged_once() {
+    let mut agent = agent();
+    agent.apply_listing(at(100), at(101), &listed_end(1, Ending::Done));
+    let listed = agent.listed();
+    agent.report_stored(at(110), MAX_LEASE, listed);
+    assert_eq!(agent.ack_cursor(at(120)), 1);
+    agent.apply_listing(at(120), at(121), &listing(1, false));
+    assert_eq!(agent.ack_cursor(at(130)), 0);
+}
+
 /// With a new id nothing that was sent can start, so nothing waits.
 #[test]
 fn new_id() {
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -430,8 +430,12 @@
             None
         } else {
             let (deadline_ms, acked) =
-                (agent.reconciler.renew_lease(now), agent.reconciler.ack_cursor());
-            vm.worker.list_runs(&addressee, deadline_ms, acked)
+                (agent.reconciler.renew_lease(now), agent.reconciler.ack_cursor(now));
+            let listing = vm.worker.list_runs(&addressee, deadline_ms, acked);
+            if listing.is_none() {
+                agent.reconciler.poll_failed();
+            }
+            listing
         };
         let ended = listing
             .is_some_and(|listing| agent.reconciler.apply_listing(now, now, &listing))
