--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -24,6 +24,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_600);
 /// Maximum wait for an end in one poll of a worker that has runs.
 const BUSY_POLL_WAIT: Duration = Duration::from_millis(500);
+/// Maximum wait for an end in one poll while runs of an earlier incarnation are being stopped. A poll
+/// that was sent before a stop was answered does not show that the run is gone.
+const SETTLING_POLL_WAIT: Duration = Duration::from_millis(50);
 /// Maximum wait for an end in one poll of an idle worker.
 const IDLE_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
@@ -189,7 +192,7 @@
     /// Records that the worker has left.
     pub fn left(&self, id: &str) {
         let mut state = self.shared.lock();
-        state.reconciler.worker_left(id);
+        state.reconciler.worker_left(clock::now(), id);
         state.urgent = true;
         log!(WorkerLeft, "id={id}");
         self.shared.changed.notify_all();
@@ -408,12 +411,13 @@
             let lease_deadline_ms = state.reconciler.renew_lease(sent);
             let wait = match (lease_deadline_ms, state.reconciler.is_busy()) {
                 (None, _) => Duration::ZERO,
+                (Some(_), _) if state.reconciler.is_settling() => SETTLING_POLL_WAIT,
                 (Some(_), true) => BUSY_POLL_WAIT,
                 (Some(_), false) => IDLE_POLL_WAIT,
             };
             let poll = Poll {
                 deadline_ms: lease_deadline_ms,
-                ack_cursor: state.reconciler.ack_cursor(),
+                ack_cursor: state.reconciler.ack_cursor(sent),
                 wait,
             };
             (Shared::addressee(&state), poll, sent)
@@ -435,6 +439,7 @@
             drop(state);
             shared.changed.notify_all();
         } else {
+            state.reconciler.poll_failed();
             if state.reconciler.end_lapsed(now) {
                 warn!(LeaseLapsed, "life={}", state.reconciler.incarnation());
                 state.urgent = true;
