--- a/persimmondrift/src/cell/duty/report.rs
+++ b/persimmondrift/src/cell/duty/report.rs
@@ -38,7 +38,8 @@
     #[must_use]
     pub fn report(&self, now: Time) -> Worker {
         let (reported, held) = self.split_ends();
-        let ends: Vec<End> = reported.iter().map(|own| own.end.clone()).collect();
+        let late = self.late.iter().map(|(end, _)| end);
+        let ends: Vec<End> = reported.iter().map(|own| &own.end).chain(late).cloned().collect();
         let held = held.first().map(|own| &own.incarnation);
         let left = self.runs.values().filter_map(Run::earlier_incarnation);
         let earlier = held.filter(|own| **own != self.incarnation).into_iter().chain(left).min();
