Let running jobs use up their workspace's guarantee first

Coverage was worked out in the order of acceptance only, so a workspace that asks for more than its guarantee claimed room that it already had. Jobs that run now use it up first, and such a workspace claims from lower priorities only; the rule on guarantees binds only while it asks for no more.

--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -4,7 +4,7 @@
 
 use super::draft::Draft;
 use super::fold::stop;
-use super::place::{PendingGroup, Pool, assigned};
+use super::place::{Coverage, PendingGroup, Pool, assigned};
 use super::{Cause, Claim, queue_of, request_of};
 use crate::cell::job::{Group, Id, Resources, Step};
 use crate::cell::pack::{self, Demand, Placement};
@@ -20,7 +20,7 @@
     pool: &mut Pool,
     pending: &PendingGroup<'_>,
     count: u32,
-    guaranteed: &HashMap<Id, bool>,
+    coverage: &HashMap<Id, Coverage>,
     excluded: &[bool],
 ) {
     let step = &pending.request.steps[usize::from(pending.group.step)];
@@ -36,7 +36,7 @@
         hold_room(pool, step, &placement);
         return;
     }
-    let mut by_agent = candidates(draft, pending, guaranteed);
+    let mut by_agent = candidates(draft, pending, coverage);
     let candidates: Vec<Vec<Victim>> = (0..pool.slots.len())
         .map(|i| by_agent.remove(&pool.slots[i].agent).filter(|_| !excluded[i]).unwrap_or_default())
         .collect();
@@ -156,11 +156,11 @@
 fn candidates(
     draft: &Draft<'_>,
     pending: &PendingGroup<'_>,
-    guaranteed: &HashMap<Id, bool>,
+    coverage: &HashMap<Id, Coverage>,
 ) -> HashMap<String, Vec<Victim>> {
     let mut by_agent: HashMap<String, Vec<Victim>> = HashMap::new();
     for ((agent, group), order) in &draft.orders {
-        let victims = victims_of(draft, agent, *group, order, pending, guaranteed);
+        let victims = victims_of(draft, agent, *group, order, pending, coverage);
         if !victims.is_empty() {
             by_agent.entry(agent.clone()).or_default().extend(victims);
         }
@@ -175,7 +175,7 @@
     group: Group,
     order: &Order,
     pending: &PendingGroup<'_>,
-    guaranteed: &HashMap<Id, bool>,
+    coverage: &HashMap<Id, Coverage>,
 ) -> Vec<Victim> {
     let input = draft.input;
     let known = request_of(input.jobs, group.job).and_then(|(job, request)| {
@@ -184,9 +184,11 @@
     let (Some((job, request, step)), Some(worker)) = (known, input.workers.get(agent)) else {
         return Vec::new();
     };
-    let covered = guaranteed.get(&group.job).copied().unwrap_or(false);
+    let covered = coverage.get(&group.job).is_some_and(|coverage| coverage.covered);
+    // A workspace that asks for more than its guarantee has no claim on others of its priority.
+    let claims = coverage.get(&pending.group.job).is_some_and(|own| own.covered && own.whole);
     let queue = queue_of(input.config, job);
-    let ranks_lower = if pending.rank.guaranteed {
+    let ranks_lower = if claims {
         queue.priority >= pending.queue.priority
     } else {
         queue.priority > pending.queue.priority
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -1,6 +1,6 @@
 //! Placement: assigns waiting groups to workers in the order of their rank, and writes the orders.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::displace::preempt;
 use super::draft::{Draft, OrderKey};
@@ -59,8 +59,8 @@
     /// Places waiting groups in the order of their rank.
     pub(super) fn assign(&mut self, draft: &mut Draft<'_>) {
         let mut pools: HashMap<String, Pool> = HashMap::new();
-        let guaranteed = guaranteed(draft);
-        let all = pending(draft, &guaranteed);
+        let coverage = coverage(draft);
+        let all = pending(draft, &coverage);
         for pending in &all {
             if draft.is_full() {
                 return;
@@ -70,7 +70,7 @@
             }
             let service = pending.queue.service.clone();
             let pool = pools.entry(service).or_insert_with_key(|name| self.pool(draft, name, &all));
-            self.place_group(draft, pool, pending, &guaranteed);
+            self.place_group(draft, pool, pending, &coverage);
         }
     }
 
@@ -81,7 +81,7 @@
         draft: &mut Draft<'_>,
         pool: &mut Pool,
         pending: &PendingGroup<'_>,
-        guaranteed: &HashMap<Id, bool>,
+        coverage: &HashMap<Id, Coverage>,
     ) {
         let PendingGroup { group, request, .. } = *pending;
         let step = &request.steps[usize::from(group.step)];
@@ -111,7 +111,7 @@
                 .enumerate()
                 .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
                 .collect();
-            preempt(draft, pool, pending, left, guaranteed, &excluded);
+            preempt(draft, pool, pending, left, coverage, &excluded);
         }
     }
 
@@ -302,7 +302,7 @@
 }
 
 /// Returns the groups that can start, in the order of their rank.
-fn pending<'a>(draft: &mut Draft<'a>, guaranteed: &HashMap<Id, bool>) -> Vec<PendingGroup<'a>> {
+fn pending<'a>(draft: &mut Draft<'a>, coverage: &HashMap<Id, Coverage>) -> Vec<PendingGroup<'a>> {
     let input = draft.input;
     let mut all = Vec::new();
     for id in draft.job_ids() {
@@ -317,7 +317,7 @@
         {
             continue;
         }
-        let covered = guaranteed.get(&id).copied().unwrap_or(false);
+        let covered = coverage.get(&id).is_some_and(|coverage| coverage.covered);
         let rank = Rank::new(queue, request, progress, job.accepted_ms, input.wall_ms, covered);
         for group in progress.startable_groups(id, request, input.wall_ms) {
             all.push(PendingGroup { group, request, queue, rank });
@@ -327,10 +327,26 @@
     all
 }
 
-/// Returns, for unfinished jobs of priority 0 from a configured workspace, whether its guarantee
-/// covers them. Jobs use up the guarantee in the order of their acceptance.
-fn guaranteed(draft: &mut Draft<'_>) -> HashMap<Id, bool> {
+/// How the guarantee of its workspace covers a job.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Coverage {
+    /// Whether the guarantee covers the job.
+    pub covered: bool,
+    /// Whether the guarantee covers all unfinished jobs of the workspace.
+    pub whole: bool,
+}
+
+/// Returns the coverage of the unfinished jobs of priority 0 from a configured workspace. Jobs use
+/// up the guarantee in the order of their acceptance, those that run before those that wait, so
+/// that a workspace that asks for more than its guarantee does not claim from its own jobs.
+fn coverage(draft: &mut Draft<'_>) -> HashMap<Id, Coverage> {
     let input = draft.input;
+    let running: BTreeSet<Id> = draft
+        .orders
+        .iter()
+        .filter(|(_, order)| order.tasks.iter().any(|task| !task.stop))
+        .map(|((_, group), _)| group.job)
+        .collect();
     let mut urgent = Vec::new();
     for id in draft.job_ids() {
         let Some((job, request)) = request_of(input.jobs, id) else {
@@ -338,18 +354,19 @@
         };
         let over = job.cancelled || draft.progress(id, request).state.is_final();
         if !over && queue_of(input.config, job).priority == 0 {
-            urgent.push((
-                job.accepted_ms,
-                id,
-                job.workspace.as_deref(),
-                peak_accelerators(request),
-            ));
+            let (waits, need) = (!running.contains(&id), peak_accelerators(request));
+            urgent.push((waits, job.accepted_ms, id, job.workspace.as_deref(), need));
         }
     }
     urgent.sort_unstable();
+    let mut needs: HashMap<&str, u32> = HashMap::new();
+    for (_, _, _, workspace, need) in &urgent {
+        let sum = needs.entry(workspace.unwrap_or_default()).or_default();
+        *sum = sum.saturating_add(*need);
+    }
     let mut used: HashMap<&str, u32> = HashMap::new();
-    let mut covered = HashMap::new();
-    for (_, id, workspace, need) in urgent {
+    let mut all = HashMap::new();
+    for (_, _, id, workspace, need) in urgent {
         let guarantee = workspace.and_then(|name| {
             input.config.workspaces.iter().find(|workspace| workspace.name == name)
         });
@@ -357,13 +374,14 @@
             continue;
         };
         let used = used.entry(&guarantee.name).or_default();
-        let fits = used.saturating_add(need) <= guarantee.guaranteed;
-        if fits {
+        let covered = used.saturating_add(need) <= guarantee.guaranteed;
+        if covered {
             *used += need;
         }
-        covered.insert(id, fits);
+        let whole = needs.get(&*guarantee.name).is_some_and(|sum| *sum <= guarantee.guaranteed);
+        all.insert(id, Coverage { covered, whole });
     }
-    covered
+    all
 }
 
 /// Returns the number of accelerators of the step that needs most.
