Hold the room that waiting groups are about to get, and claim only in time

A group that does not fit now holds the room that is free or is expected to be within 4 s, so lower ranks no longer take it. A claim is met from runs that end by themselves if that is as soon as a stop. A group without a guarantee claims no more once its slack is shorter than a stop takes: 26 of 40 completed claimants had been late.

--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -8,13 +8,19 @@
 use super::{Cause, Claim, queue_of, request_of};
 use crate::cell::job::{Group, Id, Resources, Step};
 use crate::cell::pack::{self, Demand, Placement};
-use crate::cell::rank::Rank;
+use crate::cell::rank::{Rank, Timeliness};
 use crate::cell::reclaim::{self, StopCost, Victim};
 use crate::cell::record::{Order, Progress, progress_key};
 
+/// Maximum number of groups in a round for which room is held until runs end by themselves.
+const MAX_WAITING_HOLDS: usize = 16;
+/// Times within which runs may end so that room is held for a group that waits, in milliseconds.
+const AWAIT_MS: [u64; 4] = [0, 1_000, 2_000, 4_000];
+
 /// Stops tasks of lower rank so that `count` tasks of a group fit, and holds the freed resources
-/// until the group can be placed. Stops nothing if the stops under way suffice or, without a
-/// guarantee, if more would be lost than gained.
+/// until the group can be placed. Stops nothing if the stops under way and the runs that end soon
+/// suffice or, without a guarantee, if more would be lost than gained. Returns whether room is held
+/// for the group.
 pub(super) fn preempt(
     draft: &mut Draft<'_>,
     pool: &mut Pool,
@@ -22,19 +28,17 @@
     count: u32,
     coverage: &HashMap<Id, Coverage>,
     excluded: &[bool],
-) {
+) -> bool {
     let step = &pending.request.steps[usize::from(pending.group.step)];
     let demand = Demand { step, count };
     let assigned = assigned(draft, pool, pending.group);
-    let expected_free = |pool: &Pool, i: usize| {
-        if excluded[i] { Resources::default() } else { pool.expected_free(i, Resources::default()) }
-    };
-    let all_placed =
-        |placement: &Placement| placement.iter().map(|(_, count)| count).sum::<u32>() == count;
-    let placement = pack::place(&pool.slots, demand, |i| expected_free(pool, i), |i| assigned[i]);
-    if let Some(placement) = placement.filter(all_placed) {
-        hold_room(pool, step, &placement);
-        return;
+    let waited_ms = draft.input.wall_ms.saturating_sub(pending.rank.accepted_ms);
+    let patience_ms = reclaim::patience_ms(&pending.rank, waited_ms);
+    for within_ms in [0, patience_ms] {
+        if let Some(placement) = placement_within(pool, demand, &assigned, excluded, within_ms) {
+            hold_room(pool, step, &placement);
+            return true;
+        }
     }
     let mut by_agent = candidates(draft, pending, coverage);
     let candidates: Vec<Vec<Victim>> = (0..pool.slots.len())
@@ -43,11 +47,11 @@
     let Some((loss, placement)) =
         cheapest_placement(pool, demand, &assigned, excluded, &candidates)
     else {
-        return;
+        return false;
     };
     let own = reclaim::work(step, u64::from(count));
     if !pending.rank.guaranteed && loss > reclaim::gain(&pending.rank, own) {
-        return;
+        return false;
     }
     for &(index, count) in &placement {
         let need = step.effective_need().times(count);
@@ -60,6 +64,49 @@
         }
     }
     hold_room(pool, step, &placement);
+    true
+}
+
+/// Withholds the room that a group waits for from groups of lower rank, if it is expected to be free
+/// soon without a stop. Otherwise they would take it, and be stopped for the group.
+pub(super) fn await_room(
+    draft: &Draft<'_>,
+    pool: &mut Pool,
+    pending: &PendingGroup<'_>,
+    count: u32,
+    excluded: &[bool],
+) {
+    if pending.rank.timeliness == Timeliness::TooLate || pool.waiting_holds >= MAX_WAITING_HOLDS {
+        return;
+    }
+    let step = &pending.request.steps[usize::from(pending.group.step)];
+    let assigned = assigned(draft, pool, pending.group);
+    let demand = Demand { step, count };
+    let mut placements = AWAIT_MS
+        .iter()
+        .filter_map(|within_ms| placement_within(pool, demand, &assigned, excluded, *within_ms));
+    if let Some(placement) = placements.next() {
+        drop(placements);
+        pool.waiting_holds += 1;
+        hold_room(pool, step, &placement);
+    }
+}
+
+/// Returns a placement of all tasks on the room that is expected to be free within a time without
+/// further stops.
+fn placement_within(
+    pool: &Pool,
+    demand: Demand<'_>,
+    assigned: &[u32],
+    excluded: &[bool],
+    within_ms: u64,
+) -> Option<Placement> {
+    let room = |i: usize| {
+        if excluded[i] { Resources::default() } else { pool.expected_within(i, within_ms) }
+    };
+    let placement = pack::place(&pool.slots, demand, room, |i| assigned[i])?;
+    let placed: u32 = placement.iter().map(|(_, count)| count).sum();
+    (placed == demand.count).then_some(placement)
 }
 
 /// Returns the placement that loses least work, and its loss. For a gang that wants one rack,
@@ -148,7 +195,13 @@
         let need = step.effective_need().times(count);
         let beyond = need - pool.slots[index].free;
         pool.slots[index].free = pool.slots[index].free - need;
+        let mut left = beyond - pool.stopping[index];
         pool.stopping[index] = pool.stopping[index] - beyond;
+        for (_, room) in &mut pool.ending[index] {
+            let taken = left;
+            left = left - *room;
+            *room = *room - taken;
+        }
     }
 }
 
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::displace::preempt;
+use super::displace::{await_room, preempt};
 use super::draft::{Draft, OrderKey};
 use super::suspect::{Waiting, Watch};
 use super::{Decision, Planner, queue_of, request_of};
 use crate::cell::access::Queue;
 use crate::cell::health::Trust;
-use crate::cell::job::{Group, Id, Request, Resources, Step};
+use crate::cell::job::{Group, Id, Request, Resources, Step, Task};
 use crate::cell::pack::{self, Demand, Placement, Slot};
 use crate::cell::rank::Rank;
 use crate::cell::reclaim;
@@ -30,6 +30,11 @@
     pub slots: Vec<Slot>,
     /// Resources that become free when the runs that are being stopped have ended, by slot.
     pub stopping: Vec<Resources>,
+    /// Resources that become free when runs end by themselves, with the expected time until then in
+    /// milliseconds, by slot.
+    pub ending: Vec<Vec<(u64, Resources)>>,
+    /// Number of groups that room is held for until runs end by themselves.
+    pub waiting_holds: usize,
     /// Resources by which the runs that are not being stopped exceed the capacity, by slot. Nothing
     /// is free on such a worker.
     pub excess: Vec<Resources>,
@@ -48,6 +53,13 @@
         self.slots[index].free + self.stopping[index] + (released - excess)
     }
 
+    /// Returns the resources of a slot that are free once the runs that are being stopped have
+    /// ended, and those that are expected to end within a time.
+    pub fn expected_within(&self, index: usize, within_ms: u64) -> Resources {
+        let ending = self.ending[index].iter().filter(|(left_ms, _)| *left_ms <= within_ms);
+        self.expected_free(index, ending.fold(Resources::default(), |sum, (_, room)| sum + *room))
+    }
+
     /// Records that a run that uses `room` is now being stopped on a slot.
     pub fn release(&mut self, index: usize, room: Resources) {
         self.stopping[index] = self.stopping[index] + (room - self.excess[index]);
@@ -105,13 +117,18 @@
         }
         let left = Waiting::of(draft, pending).total();
         self.observe_wait(draft, pool, pending, left, &reserved);
-        if left > 0 && reclaim::may_preempt(&pending.rank) {
-            let excluded: Vec<bool> = excluded
-                .iter()
-                .enumerate()
-                .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
-                .collect();
-            preempt(draft, pool, pending, left, coverage, &excluded);
+        if left == 0 {
+            return;
+        }
+        let excluded: Vec<bool> = excluded
+            .iter()
+            .enumerate()
+            .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
+            .collect();
+        let claimed = reclaim::may_preempt(&pending.rank)
+            && preempt(draft, pool, pending, left, coverage, &excluded);
+        if !claimed {
+            await_room(draft, pool, pending, left, &excluded);
         }
     }
 
@@ -238,6 +255,8 @@
         let mut pool = Pool {
             slots: Vec::new(),
             stopping: Vec::new(),
+            ending: Vec::new(),
+            waiting_holds: 0,
             excess: Vec::new(),
             watch: Watch::new(draft, waiting),
         };
@@ -254,6 +273,7 @@
             let mut used = Resources::default();
             let mut kept = Resources::default();
             let mut has_urgent = false;
+            let mut ending = Vec::new();
             for ((own, group), order) in &draft.orders {
                 if own != agent {
                     continue;
@@ -264,9 +284,14 @@
                     used = used + need;
                     if !task.stop {
                         kept = kept + need;
+                        if let Some(left_ms) = time_left(draft, worker, group.task(task.index)) {
+                            ending.push((left_ms, need));
+                        }
                     }
                 }
             }
+            ending.sort_unstable_by_key(|(left_ms, _)| *left_ms);
+            pool.ending.push(ending);
             urgent += usize::from(has_urgent);
             let capacity = worker.capacity;
             let free = if capacity.holds(used) { capacity - used } else { Resources::default() };
@@ -397,6 +422,16 @@
     step.map_or(order.need, Step::effective_need)
 }
 
+/// Returns the expected time until a task has ended on a worker, in milliseconds; `None` if it runs
+/// until its job is cancelled.
+fn time_left(draft: &Draft<'_>, worker: &Worker, task: Task) -> Option<u64> {
+    let (_, request) = request_of(draft.input.jobs, task.job)?;
+    let step = request.steps.get(usize::from(task.step))?;
+    let running = worker.running.iter().find(|run| run.task == task);
+    let percent = running.map_or(0, |running| running.percent.min(100));
+    (!step.long_running).then(|| u64::from(step.estimate_ms) * u64::from(100 - percent) / 100)
+}
+
 /// Returns whether the queue of a group has priority 0.
 fn is_urgent(draft: &Draft<'_>, group: Group) -> bool {
     let job = request_of(draft.input.jobs, group.job).map(|(job, _)| job);
--- a/persimmondrift/src/cell/reclaim.rs
+++ b/persimmondrift/src/cell/reclaim.rs
@@ -14,6 +14,11 @@
 /// Slack below which a job may preempt less urgent ones, in milliseconds. Covers a stop, the trips
 /// across regions, and errors of the declared run times.
 const URGENT_SLACK_MS: i64 = 2_500;
+/// Time from the decision to stop a run until its resources are free, in milliseconds.
+const STOP_MS: i64 = 800;
+/// Time since its acceptance for which a guaranteed job waits for runs that end by themselves, in
+/// milliseconds. Leaves time for a stop and a start before its guarantee is missed.
+const GUARANTEE_PATIENCE_MS: u64 = 1_300;
 /// Time that a task loses when it resumes from its checkpoint, in milliseconds: its restart.
 const RESUME_MS: u64 = 800;
 /// Time until a stopped task runs again, in milliseconds: its stop, and its start on another
@@ -25,10 +30,24 @@
 const OBJECTIVE_PERCENT: [u64; 3] = [100, 30, 10];
 
 /// Returns whether a group may preempt others: under a guarantee, or because it would miss its
-/// objective if it waited any longer before others are stopped.
+/// objective if it waited any longer before others are stopped, and meets it if they are.
 #[must_use]
 pub fn may_preempt(rank: &Rank) -> bool {
-    rank.guaranteed || (rank.timeliness == Timeliness::InTime && rank.slack_ms < URGENT_SLACK_MS)
+    let urgent = (STOP_MS..URGENT_SLACK_MS).contains(&rank.slack_ms);
+    rank.guaranteed || (rank.timeliness == Timeliness::InTime && urgent)
+}
+
+/// Returns the time for which a group that may preempt others waits for runs that end by
+/// themselves, in milliseconds: at least as long as a stop takes, unless its guarantee would be
+/// missed.
+#[must_use]
+pub fn patience_ms(rank: &Rank, waited_ms: u64) -> u64 {
+    let patience_ms = u64::try_from(rank.slack_ms.max(STOP_MS)).unwrap_or(0);
+    if rank.guaranteed {
+        patience_ms.min(GUARANTEE_PATIENCE_MS.saturating_sub(waited_ms))
+    } else {
+        patience_ms
+    }
 }
 
 /// Returns the estimated work of `count` tasks of a step, in core-milliseconds; accelerators count
