--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -1,14 +1,14 @@
 //! Placement: assigns waiting groups to workers in the order of their rank, and writes the orders.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use super::displace::preempt;
+use super::displace::{await_room, preempt};
 use super::draft::{Draft, OrderKey};
 use super::suspect::{Waiting, Watch};
 use super::{Decision, Planner, queue_of, request_of};
 use crate::cell::access::Queue;
 use crate::cell::health::Trust;
-use crate::cell::job::{Group, Id, Request, Resources, Step};
+use crate::cell::job::{Group, Id, Request, Resources, Step, Task};
 use crate::cell::pack::{self, Demand, Placement, Slot};
 use crate::cell::rank::Rank;
 use crate::cell::reclaim;
@@ -30,6 +30,11 @@
     pub slots: Vec<Slot>,
     /// Resources that become free when the runs that are being stopped have ended, by slot.
     pub stopping: Vec<Resources>,
+    /// Resources that become free when runs end by themselves, with the expected time until then in
+    /// milliseconds, by slot.
+    pub ending: Vec<Vec<(u64, Resources)>>,
+    /// Number of groups that room is held for until runs end by themselves.
+    pub waiting_holds: usize,
     /// Resources by which the runs that are not being stopped exceed the capacity, by slot. Nothing
     /// is free on such a worker.
     pub excess: Vec<Resources>,
@@ -48,6 +53,13 @@
         self.slots[index].free + self.stopping[index] + (released - excess)
     }
 
+    /// Returns the resources of a slot that are free once the runs that are being stopped have
+    /// ended, and those that are expected to end within a time.
+    pub fn expected_within(&self, index: usize, within_ms: u64) -> Resources {
+        let ending = self.ending[index].iter().filter(|(left_ms, _)| *left_ms <= within_ms);
+        self.expected_free(index, ending.fold(Resources::default(), |sum, (_, room)| sum + *room))
+    }
+
     /// Records that a run that uses `room` is now being stopped on a slot.
     pub fn release(&mut self, index: usize, room: Resources) {
         self.stopping[index] = self.stopping[index] + (room - self.excess[index]);
@@ -59,8 +71,8 @@
     /// Places waiting groups in the order of their rank.
     pub(super) fn assign(&mut self, draft: &mut Draft<'_>) {
         let mut pools: HashMap<String, Pool> = HashMap::new();
-        let guaranteed = guaranteed(draft);
-        let all = pending(draft, &guaranteed);
+        let coverage = coverage(draft);
+        let all = pending(draft, &coverage);
         for pending in &all {
             if draft.is_full() {
                 return;
@@ -70,7 +82,7 @@
             }
             let service = pending.queue.service.clone();
             let pool = pools.entry(service).or_insert_with_key(|name| self.pool(draft, name, &all));
-            self.place_group(draft, pool, pending, &guaranteed);
+            self.place_group(draft, pool, pending, &coverage);
         }
     }
 
@@ -81,7 +93,7 @@
         draft: &mut Draft<'_>,
         pool: &mut Pool,
         pending: &PendingGroup<'_>,
-        guaranteed: &HashMap<Id, bool>,
+        coverage: &HashMap<Id, Coverage>,
     ) {
         let PendingGroup { group, request, .. } = *pending;
         let step = &request.steps[usize::from(group.step)];
@@ -105,13 +117,18 @@
         }
         let left = Waiting::of(draft, pending).total();
         self.observe_wait(draft, pool, pending, left, &reserved);
-        if left > 0 && reclaim::may_preempt(&pending.rank) {
-            let excluded: Vec<bool> = excluded
-                .iter()
-                .enumerate()
-                .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
-                .collect();
-            preempt(draft, pool, pending, left, guaranteed, &excluded);
+        if left == 0 {
+            return;
+        }
+        let excluded: Vec<bool> = excluded
+            .iter()
+            .enumerate()
+            .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
+            .collect();
+        let claimed = reclaim::may_preempt(&pending.rank)
+            && preempt(draft, pool, pending, left, coverage, &excluded);
+        if !claimed {
+            await_room(draft, pool, pending, left, &excluded);
         }
     }
 
@@ -238,6 +255,8 @@
         let mut pool = Pool {
             slots: Vec::new(),
             stopping: Vec::new(),
+            ending: Vec::new(),
+            waiting_holds: 0,
             excess: Vec::new(),
             watch: Watch::new(draft, waiting),
         };
@@ -254,6 +273,7 @@
             let mut used = Resources::default();
             let mut kept = Resources::default();
             let mut has_urgent = false;
+            let mut ending = Vec::new();
             for ((own, group), order) in &draft.orders {
                 if own != agent {
                     continue;
@@ -264,9 +284,14 @@
                     used = used + need;
                     if !task.stop {
                         kept = kept + need;
+                        if let Some(left_ms) = time_left(draft, worker, group.task(task.index)) {
+                            ending.push((left_ms, need));
+                        }
                     }
                 }
             }
+            ending.sort_unstable_by_key(|(left_ms, _)| *left_ms);
+            pool.ending.push(ending);
             urgent += usize::from(has_urgent);
             let capacity = worker.capacity;
             let free = if capacity.holds(used) { capacity - used } else { Resources::default() };
@@ -302,7 +327,7 @@
 }
 
 /// Returns the groups that can start, in the order of their rank.
-fn pending<'a>(draft: &mut Draft<'a>, guaranteed: &HashMap<Id, bool>) -> Vec<PendingGroup<'a>> {
+fn pending<'a>(draft: &mut Draft<'a>, coverage: &HashMap<Id, Coverage>) -> Vec<PendingGroup<'a>> {
     let input = draft.input;
     let mut all = Vec::new();
     for id in draft.job_ids() {
@@ -317,7 +342,7 @@
         {
             continue;
         }
-        let covered = guaranteed.get(&id).copied().unwrap_or(false);
+        let covered = coverage.get(&id).is_some_and(|coverage| coverage.covered);
         let rank = Rank::new(queue, request, progress, job.accepted_ms, input.wall_ms, covered);
         for group in progress.startable_groups(id, request, input.wall_ms) {
             all.push(PendingGroup { group, request, queue, rank });
@@ -327,10 +352,26 @@
     all
 }
 
-/// Returns, for unfinished jobs of priority 0 from a configured workspace, whether its guarantee
-/// covers them. Jobs use up the guarantee in the order of their acceptance.
-fn guaranteed(draft: &mut Draft<'_>) -> HashMap<Id, bool> {
+/// How the guarantee of its workspace covers a job.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Coverage {
+    /// Whether the guarantee covers the job.
+    pub covered: bool,
+    /// Whether the guarantee covers all unfinished jobs of the workspace.
+    pub whole: bool,
+}
+
+/// Returns the coverage of the unfinished jobs of priority 0 from a configured workspace. Jobs use
+/// up the guarantee in the order of their acceptance, those that run before those that wait, so
+/// that a workspace that asks for more than its guarantee does not claim from its own jobs.
+fn coverage(draft: &mut Draft<'_>) -> HashMap<Id, Coverage> {
     let input = draft.input;
+    let running: BTreeSet<Id> = draft
+        .orders
+        .iter()
+        .filter(|(_, order)| order.tasks.iter().any(|task| !task.stop))
+        .map(|((_, group), _)| group.job)
+        .collect();
     let mut urgent = Vec::new();
     for id in draft.job_ids() {
         let Some((job, request)) = request_of(input.jobs, id) else {
@@ -338,18 +379,19 @@
         };
         let over = job.cancelled || draft.progress(id, request).state.is_final();
         if !over && queue_of(input.config, job).priority == 0 {
-            urgent.push((
-                job.accepted_ms,
-                id,
-                job.workspace.as_deref(),
-                peak_accelerators(request),
-            ));
+            let (waits, need) = (!running.contains(&id), peak_accelerators(request));
+            urgent.push((waits, job.accepted_ms, id, job.workspace.as_deref(), need));
         }
     }
     urgent.sort_unstable();
+    let mut needs: HashMap<&str, u32> = HashMap::new();
+    for (_, _, _, workspace, need) in &urgent {
+        let sum = needs.entry(workspace.unwrap_or_default()).or_default();
+        *sum = sum.saturating_add(*need);
+    }
     let mut used: HashMap<&str, u32> = HashMap::new();
-    let mut covered = HashMap::new();
-    for (_, id, workspace, need) in urgent {
+    let mut all = HashMap::new();
+    for (_, _, id, workspace, need) in urgent {
         let guarantee = workspace.and_then(|name| {
             input.config.workspaces.iter().find(|workspace| workspace.name == name)
         });
@@ -357,13 +399,14 @@
             continue;
         };
         let used = used.entry(&guarantee.name).or_default();
-        let fits = used.saturating_add(need) <= guarantee.guaranteed;
-        if fits {
+        let covered = used.saturating_add(need) <= guarantee.guaranteed;
+        if covered {
             *used += need;
         }
-        covered.insert(id, fits);
+        let whole = needs.get(&*guarantee.name).is_some_and(|sum| *sum <= guarantee.guaranteed);
+        all.insert(id, Coverage { covered, whole });
     }
-    covered
+    all
 }
 
 /// Returns the number of accelerators of the step that needs most.
@@ -379,6 +422,16 @@
     step.map_or(order.need, Step::effective_need)
 }
 
+/// Returns the expected time until a task has ended on a worker, in milliseconds; `None` if it runs
+/// until its job is cancelled.
+fn time_left(draft: &Draft<'_>, worker: &Worker, task: Task) -> Option<u64> {
+    let (_, request) = request_of(draft.input.jobs, task.job)?;
+    let step = request.steps.get(usize::from(task.step))?;
+    let running = worker.running.iter().find(|run| run.task == task);
+    let percent = running.map_or(0, |running| running.percent.min(100));
+    (!step.long_running).then(|| u64::from(step.estimate_ms) * u64::from(100 - percent) / 100)
+}
+
 /// Returns whether the queue of a group has priority 0.
 fn is_urgent(draft: &Draft<'_>, group: Group) -> bool {
     let job = request_of(draft.input.jobs, group.job).map(|(job, _)| job);
