Let no odd heartbeat shut a worker out

Callers saw nothing; by test only. A heartbeat with `born` near 2^64 or years ahead made all heartbeats and listings of the real worker look old, also over a restart of the agent, whose report kept it; calls were addressed to an id that nobody has. An absurd `sequence` did the same within a life.

The rest follows from listings, which only the worker itself gives: until one has confirmed the incarnation, polls are addressed to whoever is there, and an answer of an earlier incarnation takes back what a heartbeat or a report has claimed. A heartbeat counts as late only if both its sequence and its clock are not newer, and is ignored if its clock is more than 10 s ahead of the worker's own.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -391,7 +391,8 @@
                 ack_cursor: state.reconciler.ack_cursor(),
                 wait,
             };
-            (Shared::addressee(&state), poll, sent)
+            let incarnation = state.reconciler.poll_incarnation();
+            (Addressee { incarnation, ..Shared::addressee(&state) }, poll, sent)
         };
         let listing = (shared.worker.poll)(&addressee, &poll);
         let now = clock::now();
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -30,6 +30,8 @@
 /// Age of the last heartbeat at which its capacity counts as unknown, so that nothing is started.
 /// Covers two lost heartbeats.
 const MAX_HEARTBEAT_AGE: Duration = Duration::from_secs(4);
+/// How far a heartbeat may be ahead of the worker's clock as the last listing showed it.
+const MAX_READING_AHEAD: Duration = Duration::from_secs(10);
 /// Maximum number of ends in one listing. Only a listing with fewer ends is complete.
 const MAX_LISTED_ENDS: usize = 500;
 /// Maximum number of losses in a report, more than the tasks that most workers start in a second.
@@ -163,6 +165,8 @@
     drain_deadline: Option<Time>,
     /// Incarnation of the worker that the runs belong to.
     incarnation: Incarnation,
+    /// When the incarnation became known.
+    incarnation_since: Time,
     /// Current session of the agent. Orders for another one are not carried out.
     session: u64,
     orders: Mirror<Order>,
@@ -226,6 +230,7 @@
             newest_end: 0,
             stored_end: 0,
             incarnation,
+            incarnation_since: now,
             session: 0,
             orders: Mirror::default(),
             inherited: None,
@@ -266,9 +271,16 @@
         self.losses.retain_mut(|(_, since)| now.since(*since.get_or_insert(now)) < LOSS_RETENTION);
         if heartbeat.incarnation != self.incarnation {
             self.reset(heartbeat.incarnation.clone());
+            self.incarnation_since = now;
+        }
+        if self.is_ahead(now, heartbeat.clock_ms) {
+            return false;
         }
         let before = self.last_heartbeat.as_ref();
-        if before.is_some_and(|before| before.sequence >= heartbeat.sequence) {
+        // Both rise with each heartbeat, unless another writer has sent the last one.
+        if before.is_some_and(|before| {
+            before.sequence >= heartbeat.sequence && before.clock_ms >= heartbeat.clock_ms
+        }) {
             return false;
         }
         let urgent = before.is_none_or(|before| {
@@ -359,6 +371,14 @@
         &self.incarnation
     }
 
+    /// Returns the incarnation that a poll is addressed to: any until a listing has confirmed the one
+    /// that a heartbeat or a report has named.
+    #[must_use]
+    pub fn poll_incarnation(&self) -> Incarnation {
+        let id = if self.clock.is_some() { self.incarnation.id.clone() } else { String::new() };
+        Incarnation { started_ms: self.incarnation.started_ms, id }
+    }
+
     /// Returns the lease to request with the next poll, as a deadline on the worker's clock in
     /// milliseconds; `None` if the lease is not renewed.
     pub fn renew_lease(&mut self, now: Time) -> Option<u64> {
@@ -371,15 +391,28 @@
     /// ended or the worker has a new incarnation.
     pub fn apply_listing(&mut self, sent: Time, now: Time, listing: &Listing) -> bool {
         if listing.started_ms < self.incarnation.started_ms {
-            return false;
+            if self.clock.is_some() || sent < self.incarnation_since {
+                return false;
+            }
+            // Only the worker itself answers polls, so no such incarnation as a heartbeat or the last
+            // report has named is up.
+            self.reset(Incarnation { started_ms: listing.started_ms, id: String::new() });
+            self.incarnation_since = now;
+            let before = listing.started_ms.saturating_sub(1);
+            self.last_left_started_ms = self.last_left_started_ms.min(before);
+            return true;
         }
         if listing.started_ms > self.incarnation.started_ms {
             // A new incarnation that has not sent a heartbeat yet.
             self.reset(Incarnation { started_ms: listing.started_ms, id: String::new() });
+            self.incarnation_since = now;
             return true;
         }
         self.clock = Some(WorkerClock { reading_ms: listing.clock_ms, read_at: now });
         self.last_answer = Some(now);
+        if self.last_heartbeat.as_ref().is_some_and(|last| self.is_ahead(now, last.clock_ms)) {
+            self.last_heartbeat = None;
+        }
         // The worker was silent but has not crashed.
         self.losses.retain(|(loss, _)| loss.crashed);
         for (task, run, checkpoint, percent) in &listing.running {
@@ -509,6 +542,14 @@
         (self.heartbeat_age(now, worker) <= MAX_HEARTBEAT_AGE).then_some(worker.capacity)
     }
 
+    /// Returns whether a reading is further ahead of the worker's clock than a heartbeat can be.
+    fn is_ahead(&self, now: Time, reading_ms: u64) -> bool {
+        self.clock.is_some_and(|clock| {
+            let known = Duration::from_millis(clock.reading_ms) + now.since(clock.read_at);
+            Duration::from_millis(reading_ms) > known + MAX_READING_AHEAD
+        })
+    }
+
     /// Returns the longest time since the last heartbeat was sent, as far as is known. It may have
     /// arrived late, for example after a suspension of the agent.
     fn heartbeat_age(&self, now: Time, heartbeat: &Heartbeat) -> Duration {
