Bound the token and the lease that an agent takes from odd numbers

Callers saw nothing; by test only. The epoch of an order becomes the fencing token of all calls to the worker, which refuses any lower one from then on: with 2^64-1 it takes no further planner's orders. A worker's clock near 2^64 ms overflowed in the end of its lease.

An order holds no epoch above the version of its row, since each planner took a write of its own. The end of a lease saturates.

Evidence: `absurd_epoch_of_order_is_no_token` (token) and `lease_beyond_any_clock_is_bounded` ("attempt to add with overflow") failed before; both pass now.

--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -684,7 +684,8 @@
         let draining = self.last_heartbeat.as_ref().is_some_and(|worker| worker.draining);
         let ordered_runs = ordered_runs(&self.orders);
         let inherited = self.inherited.as_ref();
-        let epochs = self.orders.iter().map(|(_, _, order)| order.epoch);
+        let epochs =
+            self.orders.iter().map(|(_, version, order)| order.epoch.min(Epoch::limit(version)));
         let token = epochs.max().unwrap_or_default().max(self.token);
         // The planner has processed the ends of runs that it no longer orders, or has written the
         // runs off before it knew of a crash.
--- a/persimmondrift/src/cell/grant.rs
+++ b/persimmondrift/src/cell/grant.rs
@@ -42,7 +42,7 @@
         }
         let span = until.since(self.read_at);
         let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        Some(self.reading_ms + millis.saturating_mul(MIN_CLOCK_RATE_PERCENT) / 100)
+        Some(self.reading_ms.saturating_add(millis.saturating_mul(MIN_CLOCK_RATE_PERCENT) / 100))
     }
 
     /// Returns the longest time since the clock showed `reading_ms`, however slow it is.
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -3,12 +3,13 @@
 
 use std::time::Duration;
 
+use persimmondrift::cell::duty::{Listed, Listing, Reconciler};
 use persimmondrift::cell::job::{Group, Id, Request, Resources, Schedule, Step};
 use persimmondrift::cell::record::{
     self, Incarnation, Job, Order, OrderTask, Progress, ROLE_KEY, Role, State, Worker,
 };
-use persimmondrift::cell::table::{Table, Write};
-use persimmondrift::unit::Epoch;
+use persimmondrift::cell::table::{Row, Snapshot, Table, Write};
+use persimmondrift::unit::{Epoch, Time, Version};
 use standin::cell::{self, Cell};
 
 const WORKERS: usize = 3;
@@ -147,3 +148,44 @@
     cell.run(Duration::from_secs(1));
     assert_eq!(cell.decisions.len(), before, "the order is ended in each round");
 }
+
+/// Returns an agent whose worker has started and has answered a poll.
+fn agent(clock_ms: u64) -> Reconciler {
+    let now = Time::from_secs(10);
+    let mut agent = Reconciler::new("vm-0", None, now, cell::MAX_LEASE);
+    agent.begin_session(7);
+    let listing = Listing { started_ms: 5, clock_ms, ..Listing::default() };
+    for _ in 0..2 {
+        agent.apply_listing(now, now, &listing);
+    }
+    agent
+}
+
+/// Guards against a fencing token that makes a worker refuse all calls from then on.
+#[test]
+fn absurd_epoch_of_order_is_no_token() {
+    let mut agent = agent(1_000);
+    let incarnation = Incarnation { started_ms: 5, id: String::new() };
+    let order = Order {
+        epoch: Epoch(u64::MAX),
+        incarnation,
+        session: 7,
+        need: Resources::default(),
+        tasks: Vec::new(),
+    };
+    let group = Group { job: Id(1), occurrence: 0, step: 0 };
+    let key = record::order_key("vm-0", group);
+    let version = Version(20);
+    let row = Row { table: Table::Orders, key, version, value: Some(record::encode(&order)) };
+    agent.reset_orders(&Snapshot { rows: vec![row], version, now_ms: 0 });
+    assert!(agent.token() <= Epoch(20), "{}", agent.token());
+}
+
+/// Guards against the overflow of a lease whose end no clock shows.
+#[test]
+fn lease_beyond_any_clock_is_bounded() {
+    let mut agent = agent(u64::MAX);
+    let now = Time::from_secs(10);
+    agent.report_stored(now, Duration::from_secs(5), Listed::default());
+    assert_eq!(agent.renew_lease(now), Some(u64::MAX));
+}
