Saturate ranks, costs, run numbers and failures at the ends of their ranges

Callers saw nothing; by test only. Job rows with estimates, stretches, latencies or priorities near the ends of their ranges overflowed in the rank of the job, so the planner's thread panicked with overflow checks and ranked wrongly without. By reading, the same holds for the cost of a stop, the number of a run, the number of failures and the sum of guaranteed accelerators. A task whose run numbers are used up now fails its job: no worker starts a number that it has seen.

--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -81,9 +81,10 @@
     };
     let total_loss = |placement: &Placement| -> Option<u64> {
         let mut gangs = BTreeSet::new();
-        let mut sum = 0;
+        let mut sum = 0_u64;
         for &(index, count) in placement {
-            sum += reclaim::total_loss(&chosen(index, count)?, &mut gangs);
+            let loss = reclaim::total_loss(&chosen(index, count)?, &mut gangs);
+            sum = sum.saturating_add(loss);
         }
         Some(sum)
     };
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -188,7 +188,7 @@
         let step = &request.steps[usize::from(group.step)];
         let input = draft.input;
         let tasks = draft.progress_mut(group.job, request).group_mut(request, group);
-        let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0).saturating_add(1);
         let newest = tasks.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
         let mut indices = (0_u16..)
             .zip(tasks.iter_mut())
@@ -198,7 +198,7 @@
             let mut tasks_here = Vec::new();
             for (index, task) in indices.by_ref().take(usize::try_from(count).unwrap_or(0)) {
                 task.phase = Phase::Ordered;
-                task.run = if step.gang { gang_run } else { task.run + 1 };
+                task.run = if step.gang { gang_run } else { task.run.saturating_add(1) };
                 if step.gang {
                     task.checkpoint.clone_from(&newest);
                 }
@@ -359,7 +359,7 @@
         let used = used.entry(&guarantee.name).or_default();
         let fits = used.saturating_add(need) <= guarantee.guaranteed;
         if fits {
-            *used += need;
+            *used = used.saturating_add(need);
         }
         covered.insert(id, fits);
     }
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -161,10 +161,10 @@
                 let first = &mut tasks[0];
                 if first.failed_run != end.run {
                     first.failed_run = end.run;
-                    first.failures += 1;
+                    first.failures = first.failures.saturating_add(1);
                 }
             }
-            Ending::Failed => task.failures += 1,
+            Ending::Failed => task.failures = task.failures.saturating_add(1),
             _ => {}
         }
     }
@@ -222,8 +222,8 @@
         places.zip(&self.tasks).find_map(given_up)
     }
 
-    /// Returns whether a task or a gang has failed `attempts` times. Lasting steps may fail without
-    /// limit.
+    /// Returns whether a task or a gang has failed `attempts` times, or has no number left for another
+    /// run. Lasting steps may fail without limit.
     #[must_use]
     fn has_exhausted_attempts(&self, request: &Request, attempts: u16) -> bool {
         let mut first = 0;
@@ -236,6 +236,10 @@
             if !step.long_running && failures.unwrap_or(0) >= attempts.max(1) {
                 return true;
             }
+            // A worker does not start a run with a number that it has seen.
+            if self.tasks[first..end].iter().any(|task| task.run == u32::MAX) {
+                return true;
+            }
             first = end.max(first + 1);
         }
         false
--- a/persimmondrift/src/cell/rank.rs
+++ b/persimmondrift/src/cell/rank.rs
@@ -58,14 +58,18 @@
     ) -> Self {
         let whole = i64::from(critical_path_ms(request, None));
         let rest = i64::from(critical_path_ms(request, Some(progress)));
-        let latency = i64::try_from(queue.latency_ms).unwrap_or(i64::MAX / 8);
-        let objective = whole * i64::from(queue.stretch_permille) / 1_000 + latency;
-        let age = i64::try_from(wall_ms.saturating_sub(accepted_ms)).unwrap_or(i64::MAX / 8);
-        let slack_ms = objective - age - rest - DISPLAY_DELAY_MS;
+        let latency = i64::try_from(queue.latency_ms).unwrap_or(i64::MAX);
+        let objective = (whole.saturating_mul(i64::from(queue.stretch_permille)) / 1_000)
+            .saturating_add(latency);
+        let age = i64::try_from(wall_ms.saturating_sub(accepted_ms)).unwrap_or(i64::MAX);
+        let slack = |objective: i64| {
+            objective.saturating_sub(age).saturating_sub(rest).saturating_sub(DISPLAY_DELAY_MS)
+        };
+        let slack_ms = slack(objective);
         let timeliness = if request.schedule.is_some() || request.is_long_running() || slack_ms >= 0
         {
             Timeliness::InTime
-        } else if MAX_LATE_FACTOR * objective - age - rest - DISPLAY_DELAY_MS >= 0 {
+        } else if slack(objective.saturating_mul(MAX_LATE_FACTOR)) >= 0 {
             Timeliness::Late
         } else {
             Timeliness::TooLate
@@ -79,8 +83,8 @@
         // Late jobs of one priority come before timely jobs of the next: they lose value with
         // time, while timely jobs have slack.
         let grade = match self.timeliness {
-            Timeliness::InTime => 2 * self.priority,
-            Timeliness::Late => 2 * self.priority + 1,
+            Timeliness::InTime => self.priority.saturating_mul(2),
+            Timeliness::Late => self.priority.saturating_mul(2).saturating_add(1),
             Timeliness::TooLate => u32::MAX,
         };
         let slack = if self.timeliness == Timeliness::InTime { self.slack_ms } else { 0 };
--- a/persimmondrift/src/cell/reclaim.rs
+++ b/persimmondrift/src/cell/reclaim.rs
@@ -35,14 +35,14 @@
 /// as cores.
 #[must_use]
 pub fn work(step: &Step, count: u64) -> u64 {
-    cores(step) * u64::from(step.estimate_ms) * count
+    cores(step).saturating_mul(u64::from(step.estimate_ms)).saturating_mul(count)
 }
 
 /// Returns the value of meeting the objective of a job with the given work, in core-milliseconds.
 #[must_use]
 pub fn gain(rank: &Rank, work: u64) -> u64 {
     let level = usize::try_from(rank.priority).unwrap_or(usize::MAX);
-    work * OBJECTIVE_PERCENT[level.min(OBJECTIVE_PERCENT.len() - 1)] / 100
+    work.saturating_mul(OBJECTIVE_PERCENT[level.min(OBJECTIVE_PERCENT.len() - 1)]) / 100
 }
 
 /// The properties of a running task that decide what its stop costs.
@@ -68,13 +68,15 @@
         let done_ms = u64::from(step.estimate_ms) * u64::from(self.percent) / 100;
         let redo_ms = if step.checkpoints { RESUME_MS } else { done_ms };
         // The cost grows with each run, so that a task that was stopped before is stopped last.
-        let redo_work = cores(step) * redo_ms * members * u64::from(self.run.max(1));
-        redo_work
-            + if self.misses_objective_if_stopped() {
-                gain(&self.rank, work(step, members))
-            } else {
-                0
-            }
+        let redo_work = [redo_ms, members, u64::from(self.run.max(1))]
+            .into_iter()
+            .fold(cores(step), u64::saturating_mul);
+        let missed = if self.misses_objective_if_stopped() {
+            gain(&self.rank, work(step, members))
+        } else {
+            0
+        };
+        redo_work.saturating_add(missed)
     }
 
     /// Returns whether the job misses its objective only because of the stop.
@@ -84,8 +86,8 @@
         let done_ms = i64::from(self.step.estimate_ms) * i64::from(self.percent) / 100;
         // The rank counts running steps from their beginning, so what is done is added to the
         // slack.
-        let meets_objective = self.rank.slack_ms + done_ms >= 0;
-        meets_objective && self.rank.slack_ms + saved_ms < RESTART_DELAY_MS
+        let meets_objective = self.rank.slack_ms.saturating_add(done_ms) >= 0;
+        meets_objective && self.rank.slack_ms.saturating_add(saved_ms) < RESTART_DELAY_MS
     }
 }
 
@@ -113,7 +115,7 @@
 #[must_use]
 pub fn total_loss(victims: &[Victim], gangs: &mut BTreeSet<Group>) -> u64 {
     let counted = victims.iter().filter(|victim| !victim.gang || gangs.insert(victim.task.group()));
-    counted.map(|victim| victim.loss).sum()
+    counted.map(|victim| victim.loss).fold(0, u64::saturating_add)
 }
 
 /// Returns candidates to stop so that `need` fits into `free`, chosen greedily by their cost;
