Refuse a report whose address cannot be connected to

Callers saw nothing; by test only. A copy of a report under another key, with a port out of range, was a worker to the planner: tasks were placed there, and came back when its grant had expired.

Evidence: `report_with_odd_port_names_no_worker` failed before (8 tasks placed on the odd entry) and passes now. A report without an address is as before.

--- a/persimmondrift/src/cell/codec.rs
+++ b/persimmondrift/src/cell/codec.rs
@@ -5,6 +5,8 @@
 //! goes into a new part at the end of its row, with a default for rows that lack the part. A version
 //! ignores parts that it does not know, and drops them when it rewrites the row.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::job::{Resources, Task};
@@ -55,7 +57,11 @@
     }
 
     fn from_row(mut value: &[u8]) -> Option<Self> {
-        let mut worker = take::<Worker>(&mut value)?.into();
+        let mut worker: Self = take::<Worker>(&mut value)?.into();
+        let has_peer = worker.peer.parse::<SocketAddr>().is_ok_and(|peer| peer.port() != 0);
+        if !worker.peer.is_empty() && !has_peer {
+            return None;
+        }
         take_later::<WorkerCrashes>(&mut value)?.apply(&mut worker)?;
         Some(worker)
     }
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -5,6 +5,7 @@
 
 use persimmondrift::cell::duty::{Listed, Listing, Reconciler};
 use persimmondrift::cell::job::{Group, Id, Request, Resources, Schedule, Step};
+use persimmondrift::cell::planner::Decision;
 use persimmondrift::cell::record::{
     self, Incarnation, Job, Order, OrderTask, Progress, ROLE_KEY, Role, State, Worker,
 };
@@ -149,6 +150,23 @@
     assert_eq!(cell.decisions.len(), before, "the order is ended in each round");
 }
 
+/// Guards against tasks that are placed on a worker whose agent has an impossible address.
+#[test]
+fn report_with_odd_port_names_no_worker() {
+    let mut cell = Cell::new(WORKERS);
+    cell.run(Duration::from_secs(2));
+    let report: Worker = read(&cell, Table::Workers, "vm-0").expect("a report");
+    submit(&mut cell, 1, 32, WORK);
+    for peer in ["10.1.0.20:99999", "10.1.0.20:0", "10.1.0.20", "[[["] {
+        let odd = Worker { peer: peer.to_owned(), ..report.clone() };
+        put(&mut cell, Table::Workers, "vm-9", &record::encode(&odd));
+        cell.run(Duration::from_millis(300));
+    }
+    assert_completes(&mut cell, 1, Duration::from_secs(8));
+    let is_odd = |decision: &&Decision| matches!(decision, Decision::Placed { agent, .. } if agent == "vm-9");
+    assert_eq!(cell.decisions.iter().find(is_odd), None);
+}
+
 /// Returns an agent whose worker has started and has answered a poll.
 fn agent(clock_ms: u64) -> Reconciler {
     let now = Time::from_secs(10);
