Begin no session beside an unreadable report until the leases have lapsed

Callers saw nothing; by test only. An agent process that started beside a report that it could not read began a new session at once. For the planner that ends all runs of the session before, while the worker may still run them under its lease.

Such a process now waits for the longest lease of its worker first, as it can't know the session.

Evidence: `no_session_begins_beside_an_unreadable_report` failed before and passes now.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -27,6 +27,8 @@
 const IDLE_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two reads of a report that cannot be read.
+const RECOVERY_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum time after which a thread checks again for due calls.
 const IDLE_CALL_WAIT: Duration = Duration::from_millis(150);
 /// Threads that call the worker: several, so that one call without an answer does not delay others.
@@ -300,6 +302,7 @@
 
 /// Reads the report and orders that the previous process left; `None` if the agent is stopped.
 fn recover(shared: &Shared, boot: u64) -> Option<Reporter> {
+    let begin = clock::now();
     while !shared.stopping() {
         let read = || -> Result<Reporter, Error> {
             let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
@@ -311,6 +314,17 @@
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
             let version = row.as_ref().map_or(Version(0), |row| row.version);
             let agent = &shared.identity.agent;
+            if row.is_some() && last.is_none() {
+                // The session that the worker's runs belong to is not known. A new one ends them for
+                // the planner, so they must have lapsed.
+                warn!(RowRefused, "key={agent} version={version} malformed");
+                let left = grant::longest_lease(shared.identity.max_lease)
+                    .saturating_sub(clock::now().since(begin));
+                if !left.is_zero() {
+                    thread::sleep(left.min(RECOVERY_PAUSE));
+                    return Err(Error::NotDone);
+                }
+            }
             let reporter = Reporter::new(agent, boot, version, last.as_ref());
             {
                 let mut state = shared.lock();
