--- a/persimmondrift/src/cell/planner/late.rs
+++ b/persimmondrift/src/cell/planner/late.rs
@@ -27,7 +27,7 @@
                     return;
                 }
                 draft.progress_mut(end.task.job, request).apply_late(request, end);
-                fold::stop(draft, end.task, Cause::AlreadyDone);
+                fold::stop(draft, end.task, Cause::AlreadyDone, None);
             }
         }
     }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -205,7 +205,7 @@
         let step = &request.steps[usize::from(group.step)];
         let input = draft.input;
         let tasks = draft.progress_mut(group.job, request).group_mut(request, group);
-        let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0).saturating_add(1);
         let newest = tasks.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
         let mut indices = (0_u16..)
             .zip(tasks.iter_mut())
@@ -215,7 +215,7 @@
             let mut tasks_here = Vec::new();
             for (index, task) in indices.by_ref().take(usize::try_from(count).unwrap_or(0)) {
                 task.phase = Phase::Ordered;
-                task.run = if step.gang { gang_run } else { task.run + 1 };
+                task.run = if step.gang { gang_run } else { task.run.saturating_add(1) };
                 if step.gang {
                     task.checkpoint.clone_from(&newest);
                 }
@@ -401,7 +401,7 @@
         let used = used.entry(&guarantee.name).or_default();
         let covered = used.saturating_add(need) <= guarantee.guaranteed;
         if covered {
-            *used += need;
+            *used = used.saturating_add(need);
         }
         let whole = needs.get(&*guarantee.name).is_some_and(|sum| *sum <= guarantee.guaranteed);
         all.insert(id, Coverage { covered, whole });
