Restore an order that a new planner cannot read

Callers saw nothing; by test only. A planner that took over took the runs of an unreadable order for unsent and placed them again, while the agent, which keeps the order that it has read, still ran them.

Such an order is now written again from the progress of its job: the runs of its group that no other order holds and no other agent reports. One without runs is removed.

Evidence: `unreadable_order_is_restored` failed before (tasks run after they were done) and passes now.

--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Decision, Input, Plan, request_of};
-use crate::cell::job::{Group, Id, Request};
-use crate::cell::record::{self, Order, Phase, Progress, State};
+use crate::cell::job::{Group, Id, Request, Step, Task};
+use crate::cell::record::{self, Order, OrderTask, Phase, Progress, Running, State};
 use crate::cell::table::{Batch, Condition, MAX_BATCH_ENTRIES, Table, Write};
 use crate::unit::Version;
 
@@ -16,6 +16,53 @@
 /// The agent and the group that an order is for.
 pub type OrderKey = (String, Group);
 
+/// Adds an order for each row of one that cannot be read, with the runs of its group that no other order
+/// holds: its agent may have them. Returns the keys. An order without runs is removed.
+fn restore_orders(input: &Input<'_>, orders: &mut BTreeMap<OrderKey, Order>) -> Vec<OrderKey> {
+    let mut restored = Vec::new();
+    for (agent, group) in input.orders.unread().filter_map(record::parse_order_key) {
+        let request = request_of(input.jobs, group.job).map(|(_, request)| request);
+        let progress = input.jobs.progress.get(&record::progress_key(group.job));
+        let tasks =
+            request.zip(progress).map_or(&[][..], |(request, known)| known.group(request, group));
+        let is_held = |index: u16, run: u32| {
+            let mut others = orders.iter().filter(|((_, own), _)| *own == group);
+            others.any(|(_, order)| order.tasks.iter().any(|it| it.index == index && it.run == run))
+        };
+        let is_elsewhere = |task: Task, run: u32| {
+            input.workers.iter().any(|(other, _, worker)| {
+                let reported = |it: &Running| it.task == task && it.run == run;
+                other != agent && worker.running.iter().any(reported)
+            })
+        };
+        let ordered = (0_u16..).zip(tasks).filter(|(index, task)| {
+            task.phase == Phase::Ordered
+                && !is_held(*index, task.run)
+                && !is_elsewhere(group.task(*index), task.run)
+        });
+        let tasks = ordered.map(|(index, task)| OrderTask {
+            index,
+            run: task.run,
+            checkpoint: task.checkpoint.clone(),
+            stop: false,
+        });
+        let tasks: Vec<OrderTask> = tasks.collect();
+        let worker = input.workers.get(agent);
+        let step = request.and_then(|request| request.steps.get(usize::from(group.step)));
+        let order = Order {
+            epoch: input.epoch,
+            incarnation: worker.map(|worker| worker.incarnation.clone()).unwrap_or_default(),
+            session: worker.map_or(0, |worker| worker.session),
+            need: step.map(Step::effective_need).unwrap_or_default(),
+            tasks,
+        };
+        let key = (agent.to_owned(), group);
+        orders.insert(key.clone(), order);
+        restored.push(key);
+    }
+    restored
+}
+
 /// Returns the progress of a job that has none that can be read: that of a new job, and of the runs
 /// that are ordered.
 fn rebuild(id: Id, request: &Request, orders: &BTreeMap<OrderKey, Order>) -> Progress {
@@ -56,11 +103,13 @@
             let (agent, group) = record::parse_order_key(key)?;
             Some(((agent.to_owned(), group), order.clone()))
         });
+        let mut orders = orders.collect();
+        let restored = restore_orders(&input, &mut orders);
         Self {
             input,
-            orders: orders.collect(),
+            orders,
             progress: BTreeMap::new(),
-            changed_orders: BTreeSet::new(),
+            changed_orders: restored.into_iter().collect(),
             changed_progress: BTreeSet::new(),
             removed_progress: Vec::new(),
             plan: Plan::default(),
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -167,6 +167,23 @@
     assert_eq!(cell.decisions.iter().find(is_odd), None);
 }
 
+/// Guards against tasks that a new planner places again while they run, since it cannot read the order
+/// that holds them.
+#[test]
+fn unreadable_order_is_restored() {
+    let mut cell = cell_with_job(24, Duration::from_secs(3));
+    let orders = cell.rows.snapshot(Table::Orders).rows;
+    assert_eq!(orders.len(), WORKERS);
+    for row in &orders {
+        put(&mut cell, Table::Orders, &row.key, UNREADABLE);
+    }
+    cell.crash_planner();
+    assert_completes(&mut cell, 1, Duration::from_secs(10));
+    assert_eq!(cell.starts(Id(1)), 24);
+    cell.run(Duration::from_secs(1));
+    assert_eq!(cell.rows.snapshot(Table::Orders).rows, Vec::new());
+}
+
 /// Returns an agent whose worker has started and has answered a poll.
 fn agent(clock_ms: u64) -> Reconciler {
     let now = Time::from_secs(10);
