Keep the session of an agent whose report cannot be read

An agent was killed, its report had been made unreadable, and the new process began another session. So the ends that its worker listed belonged to no run; they were acknowledged and dropped, and the planner wrote the runs off as lapsed and placed them again.

Cause: a process that cannot read its last report took it for absent. Now the newest order tells the session and the incarnation, and the process goes on as after any restart; without orders nothing is lost.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -10,7 +10,7 @@
 use super::job::Task;
 use super::mirror::Jobs;
 use super::record::{self, Incarnation, ROLE_KEY, Worker};
-use super::report::{Ack, Reporter};
+use super::report::{self, Ack, Reporter};
 use super::spec::Specs;
 use super::table::{CALL_TIMEOUT, Calls, Error, PAGE_TIMEOUT, Table};
 use crate::unit::{Epoch, Time, Version};
@@ -27,8 +27,6 @@
 const IDLE_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Pause between two reads of a report that cannot be read.
-const RECOVERY_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum time after which a thread checks again for due calls.
 const IDLE_CALL_WAIT: Duration = Duration::from_millis(150);
 /// Threads that call the worker: several, so that one call without an answer does not delay others.
@@ -302,7 +300,6 @@
 
 /// Reads the report and orders that the previous process left; `None` if the agent is stopped.
 fn recover(shared: &Shared, boot: u64) -> Option<Reporter> {
-    let begin = clock::now();
     while !shared.stopping() {
         let read = || -> Result<Reporter, Error> {
             let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
@@ -310,21 +307,15 @@
             if let Some(row) = shared.store.get(Table::Jobs, ROLE_KEY)? {
                 role.apply(&row);
             }
-            let last: Option<Worker> =
+            let mut last: Option<Worker> =
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
-            let version = row.as_ref().map_or(Version(0), |row| row.version);
-            let agent = &shared.identity.agent;
             if row.is_some() && last.is_none() {
-                // The session that the worker's runs belong to is not known. A new one ends them for
-                // the planner, so they must have lapsed.
-                warn!(RowRefused, "key={agent} version={version} malformed");
-                let left = grant::longest_lease(shared.identity.max_lease)
-                    .saturating_sub(clock::now().since(begin));
-                if !left.is_zero() {
-                    thread::sleep(left.min(RECOVERY_PAUSE));
-                    return Err(Error::NotDone);
-                }
+                let (from, to) = Reconciler::order_range(&shared.identity.agent);
+                let orders = (shared.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)?;
+                last = report::restore(&orders);
             }
+            let version = row.as_ref().map_or(Version(0), |row| row.version);
+            let agent = &shared.identity.agent;
             let reporter = Reporter::new(agent, boot, version, last.as_ref());
             {
                 let mut state = shared.lock();
--- a/persimmondrift/src/cell/grant.rs
+++ b/persimmondrift/src/cell/grant.rs
@@ -10,7 +10,7 @@
 use crate::unit::Time;
 
 /// Slowest rate of a worker's clock, in percent of the true rate.
-const MIN_CLOCK_RATE_PERCENT: u32 = 98;
+const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 /// Subtracted from a worker's maximum lease, for the delay of the call.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 /// Added by the planner to the end of a grant, to cover inaccuracy between two clocks.
@@ -22,12 +22,6 @@
     max_lease.saturating_sub(LEASE_MARGIN)
 }
 
-/// Returns how long a lease that was given before now lasts at most, on a worker with the slowest clock.
-#[must_use]
-pub fn longest_lease(max_lease: Duration) -> Duration {
-    max_lease * 100 / MIN_CLOCK_RATE_PERCENT + LAPSE_MARGIN
-}
-
 /// The last known reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub struct WorkerClock {
@@ -48,10 +42,7 @@
         }
         let span = until.since(self.read_at);
         let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        Some(
-            self.reading_ms
-                .saturating_add(millis.saturating_mul(MIN_CLOCK_RATE_PERCENT.into()) / 100),
-        )
+        Some(self.reading_ms.saturating_add(millis.saturating_mul(MIN_CLOCK_RATE_PERCENT) / 100))
     }
 
     /// Returns the longest time since the clock showed `reading_ms`, however slow it is.
@@ -59,7 +50,7 @@
     pub fn time_since(self, now: Time, reading_ms: u64) -> Duration {
         let span_ms = self.reading_ms.saturating_sub(reading_ms);
         let before_read =
-            Duration::from_millis(span_ms.saturating_mul(100) / u64::from(MIN_CLOCK_RATE_PERCENT));
+            Duration::from_millis(span_ms.saturating_mul(100) / MIN_CLOCK_RATE_PERCENT);
         before_read + now.since(self.read_at)
     }
 }
--- a/persimmondrift/src/cell/report.rs
+++ b/persimmondrift/src/cell/report.rs
@@ -5,8 +5,8 @@
 //! lost, or the planner has revoked the agent's session: then all earlier orders are over, and the
 //! next report opens a new session.
 
-use super::record::{self, Worker};
-use super::table::{Batch, Condition, Outcome, Table, Write};
+use super::record::{self, Order, Worker};
+use super::table::{Batch, Condition, Outcome, Snapshot, Table, Write};
 use crate::unit::Version;
 use crate::warn;
 
@@ -24,6 +24,18 @@
     Resend,
 }
 
+/// Returns what is known of an agent's report that cannot be read: the newest of its orders tells the
+/// session and the incarnation that the runs of its worker belong to.
+#[must_use]
+pub fn restore(orders: &Snapshot) -> Option<Worker> {
+    let orders = orders.rows.iter().filter_map(|row| {
+        let order: Order = record::decode(row.value.as_deref()?)?;
+        Some((row.version, order))
+    });
+    let (_, Order { incarnation, session, .. }) = orders.max_by_key(|(version, _)| *version)?;
+    Some(Worker { incarnation, session, ..Worker::default() })
+}
+
 /// Builds the reports of one agent process, and tracks the version of its row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reporter {
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -167,6 +167,19 @@
     assert_eq!(cell.decisions.iter().find(is_odd), None);
 }
 
+/// Guards against tasks that start again after they were done, since an agent that starts beside a report
+/// that it cannot read begins another session and acknowledges the ends of the last one.
+#[test]
+fn session_outlasts_an_unreadable_report() {
+    let mut cell = cell_with_job(24, Duration::from_secs(2));
+    for vm in 0..WORKERS {
+        put(&mut cell, Table::Workers, &format!("vm-{vm}"), UNREADABLE);
+        cell.restart_agent(vm);
+    }
+    assert_completes(&mut cell, 1, Duration::from_secs(10));
+    assert_eq!(cell.starts(Id(1)), 24);
+}
+
 /// Guards against tasks that a new planner places again while they run, since it cannot read the order
 /// that holds them.
 #[test]
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -16,7 +16,7 @@
 use persimmondrift::cell::mirror::{Jobs, Mirror};
 use persimmondrift::cell::planner::{self, Decision, Input, Observation, Planner};
 use persimmondrift::cell::record::{self, Job, Order, State, Worker};
-use persimmondrift::cell::report::{Ack, Reporter};
+use persimmondrift::cell::report::{self, Ack, Reporter};
 use persimmondrift::cell::role::{Term, WriteResult};
 use persimmondrift::cell::split;
 use persimmondrift::cell::table::{MAX_BATCH_ENTRIES, MAX_ROW_BYTES, Row, Table, Write};
@@ -586,14 +586,15 @@
 /// Starts an agent process from the last report and the orders in the store.
 fn start_agent(rows: &Rows, name: &str, boot: u64, now: Time) -> Agent {
     let row = rows.get(Table::Workers, name);
+    let mut orders = rows.snapshot(Table::Orders);
+    orders.rows.retain(|row| row.key.starts_with(&format!("{name}/")));
     let last: Option<Worker> = row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
+    let last = last.or_else(|| report::restore(&orders).filter(|_| row.is_some()));
     let version = row.map_or(Version(0), |row| row.version);
     let reporter = Reporter::new(name, boot, version, last.as_ref());
     let mut reconciler = Reconciler::new(name, last.as_ref(), now, MAX_LEASE);
     reconciler.begin_session(reporter.session());
     reconciler.raise_token(Epoch(1));
-    let mut orders = rows.snapshot(Table::Orders);
-    orders.rows.retain(|row| row.key.starts_with(&format!("{name}/")));
     reconciler.reset_orders(&orders);
     Agent { reconciler, reporter, reported: now, lost_start: None }
 }
