Stop the newer run of a done task also after a change of planners

A planner that counted a late end and ended before it had written the stop left the newer run at work until its own end, since only the round that counts the end marked it: the next planner finds the task done already. Each round now stops a run whose task is done, but for gangs, whose members end by themselves.

newer_run_stops_although_the_planner_ends failed before ("the second run goes on after 2 batches") and passes.

--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -214,21 +214,33 @@
         members.any(|(key, order)| has_unstarted(key, order)).then_some(Cause::GangLate)
     }
 
-    /// Returns the runs of an order that are to be stopped because their worker is draining or they
-    /// make no progress.
+    /// Returns the runs of an order that are to be stopped because their task is done, their worker is
+    /// draining or they make no progress.
     fn run_stop_causes(draft: &Draft<'_>, key: &OrderKey) -> Vec<(Task, Cause)> {
         let (agent, group) = key;
         let Some(worker) = draft.input.workers.get(agent) else {
             return Vec::new();
         };
-        let step = request_of(draft.input.jobs, group.job)
-            .and_then(|(_, request)| request.steps.get(usize::from(group.step)));
-        let Some(step) = step else {
+        let jobs = draft.input.jobs;
+        let step = request_of(jobs, group.job)
+            .and_then(|(_, request)| Some((request, request.steps.get(usize::from(group.step))?)));
+        let Some((request, step)) = step else {
             return Vec::new();
         };
+        let progress = jobs.progress.get(&record::progress_key(group.job));
+        let tasks = progress.map_or(&[][..], |progress| progress.group(request, *group));
+        // The members of a gang that is done end by themselves.
+        let is_done = |index: u16| {
+            let task = tasks.get(usize::from(index));
+            !step.gang && task.is_some_and(|task| task.phase == Phase::Done)
+        };
         let min_ms = u64::try_from(MIN_STALL.as_millis()).unwrap_or(u64::MAX);
         let stall_ms = min_ms.max(u64::from(step.estimate_ms) * STALL_PERCENT / 100);
         let cause = |index: u16, run: u32| {
+            // The planner that counted a late end may have ended before it stopped the newer run.
+            if is_done(index) {
+                return Some(Cause::AlreadyDone);
+            }
             let task = group.task(index);
             let running = worker.running.iter().find(|own| own.task == task && own.run == run);
             let percent = running.map_or(0, |running| running.percent);
