Ignore a deregistration of an earlier incarnation with the same id

A late deregistration of the old incarnation ended the runs of the new one on the agent's books, since only the id was compared; the planner would place them again while they run. All that a worker says of itself has its start time, so the deregistration's is compared where it is there. Without one, the deregistration counts unless the worker has returned under its id and is not draining. One of a later incarnation, which was never heard of, ends the runs of the known one as well, and its late heartbeats are ignored.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -187,12 +187,16 @@
         }
     }
 
-    /// Records that the worker has left.
-    pub fn left(&self, id: &str) {
+    /// Records that an incarnation of the worker has left. `started_ms` is when it started, in
+    /// milliseconds since 1970, if that is known.
+    pub fn left(&self, id: &str, started_ms: Option<u64>) {
         let mut state = self.shared.lock();
-        state.reconciler.worker_left(clock::now(), id);
-        state.urgent = true;
-        log!(WorkerLeft, "id={id}");
+        let known = state.reconciler.incarnation().clone();
+        let has_left = state.reconciler.worker_left(clock::now(), id, started_ms);
+        log_crash(state.reconciler.take_crash());
+        state.urgent |= has_left;
+        let started_ms = started_ms.map_or_else(String::new, |started_ms| started_ms.to_string());
+        log!(WorkerLeft, "id={id} started_ms={started_ms} life={known} applied={has_left}");
         self.shared.changed.notify_all();
     }
 
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -177,6 +177,10 @@
     inherited: Option<BTreeSet<(Task, u32)>>,
     /// Runs in the last report of an earlier agent process.
     reported_runs: BTreeMap<(Task, u32), Running>,
+    /// Newest id of the worker that is known.
+    last_id: String,
+    /// Whether the incarnation before had the same id.
+    has_returned: bool,
     /// Start time of the worker that left last, in milliseconds since 1970.
     last_left_started_ms: u64,
     runs: BTreeMap<(Task, u32), Run>,
@@ -243,6 +247,8 @@
             orders: Mirror::default(),
             inherited: None,
             reported_runs: reported_runs.collect(),
+            last_id: last.map(|last| last.incarnation.id.clone()).unwrap_or_default(),
+            has_returned: false,
             last_left_started_ms: 0,
             runs: BTreeMap::new(),
             losses: last
@@ -300,14 +306,28 @@
         urgent
     }
 
-    /// Records that the worker with this id has left: all its runs have ended, but for those that
-    /// its next incarnation may start.
-    pub fn worker_left(&mut self, now: Time, id: &str) {
-        if self.incarnation.id == id {
-            let started_ms = self.incarnation.started_ms;
+    /// Records that an incarnation of the worker has left: all its runs have ended, but for those that
+    /// its next incarnation may start. `started_ms` is when it started, in milliseconds since 1970, if
+    /// that is known. Returns whether it is the present one or a later one; it may also be an earlier one
+    /// whose message was late.
+    pub fn worker_left(&mut self, now: Time, id: &str, started_ms: Option<u64>) -> bool {
+        let present = &self.incarnation;
+        let draining = self.last_heartbeat.as_ref().is_some_and(|last| last.draining);
+        let has_left = match started_ms {
+            Some(started_ms) if started_ms <= self.last_left_started_ms => false,
+            Some(started_ms) if started_ms == present.started_ms => {
+                present.id.is_empty() || present.id == id
+            }
+            Some(started_ms) => started_ms > present.started_ms,
+            // Either incarnation with this id may have sent it. One that leaves drains before.
+            None => present.id == id && (draining || !self.has_returned),
+        };
+        if has_left {
+            let started_ms = started_ms.unwrap_or(present.started_ms);
             self.last_left_started_ms = started_ms;
             self.reset(now, Incarnation { started_ms, id: String::new() });
         }
+        has_left
     }
 
     /// Applies changed rows of orders; rows of other agents are ignored.
@@ -682,6 +702,10 @@
             let (earlier, next) = (self.incarnation.clone(), incarnation.clone());
             self.crash = Some(Crash { incarnation: earlier, next, runs: lost, unsettled });
         }
+        if !incarnation.id.is_empty() {
+            self.has_returned = self.last_id == incarnation.id;
+            self.last_id.clone_from(&incarnation.id);
+        }
         self.incarnation = incarnation;
         self.last_heartbeat = None;
         self.was_draining = false;
--- a/persimmondrift/tests/same_id_restart.rs
+++ b/persimmondrift/tests/same_id_restart.rs
@@ -383,7 +383,7 @@
     for id in [ID, OTHER_ID] {
         let mut agent = agent();
         start(&mut agent, at(100), StartAnswer::NoAnswer);
-        agent.worker_left(at(400), ID);
+        assert!(agent.worker_left(at(400), ID, Some(1)));
         assert_held(&agent, at(400));
         agent.heartbeat(at(500), heartbeat(2, id));
         if id == ID {
@@ -394,6 +394,45 @@
     }
 }
 
+/// Returns an agent whose worker has returned under its id.
+fn returned_agent() -> Reconciler {
+    let mut agent = agent();
+    agent.heartbeat(at(500), heartbeat(2, ID));
+    agent
+}
+
+/// Guards against a late deregistration of one incarnation that ends the runs of the next one.
+#[test]
+fn late_deregistration() {
+    for started_ms in [Some(1), None] {
+        let mut agent = returned_agent();
+        assert!(!agent.worker_left(at(600), ID, started_ms), "{started_ms:?}");
+        assert_eq!(*agent.incarnation(), incarnation(2, ID));
+        assert!(!agent.worker_left(at(600), OTHER_ID, started_ms), "{started_ms:?}");
+    }
+}
+
+#[test]
+fn returned_worker_leaves() {
+    let draining = Heartbeat { sequence: 2, draining: true, ..heartbeat(2, ID) };
+    for started_ms in [Some(2), None] {
+        let mut agent = returned_agent();
+        agent.heartbeat(at(600), draining.clone());
+        assert!(agent.worker_left(at(700), ID, started_ms), "{started_ms:?}");
+        assert_eq!(*agent.incarnation(), incarnation(2, ""));
+        assert!(!agent.worker_left(at(700), ID, started_ms), "repeated: {started_ms:?}");
+    }
+}
+
+/// Guards against heartbeats of an incarnation that arrive after it has left, unheard of until then.
+#[test]
+fn unheard_worker_leaves() {
+    let mut agent = agent();
+    assert!(agent.worker_left(at(400), OTHER_ID, Some(2)));
+    agent.heartbeat(at(500), heartbeat(2, OTHER_ID));
+    assert_eq!(*agent.incarnation(), incarnation(2, ""));
+}
+
 fn request(width: u16) -> Request {
     let need = Resources { millicores: 4_000, mebibytes: 1_024, accelerators: 1 };
     let step = Step { width, need, estimate_ms: 3_000, ..Step::default() };
