Hold no room on reserved workers for groups that wait

A group that does not fit held room on the worker that is kept empty for urgent work. That worker then no longer counted as empty, so the reserve let in a later group of the same or a lower rank.

--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -120,15 +120,16 @@
         if left == 0 {
             return;
         }
-        let excluded: Vec<bool> = excluded
-            .iter()
-            .enumerate()
-            .map(|(index, excluded)| *excluded || pool.watch.is_watched(index))
-            .collect();
+        let watched: Vec<bool> =
+            (0..pool.slots.len()).map(|index| pool.watch.is_watched(index)).collect();
+        let or_watched = |slots: &[bool]| -> Vec<bool> {
+            slots.iter().zip(&watched).map(|(slot, watched)| *slot || *watched).collect()
+        };
         let claimed = reclaim::may_preempt(&pending.rank)
-            && preempt(draft, pool, pending, left, coverage, &excluded);
+            && preempt(draft, pool, pending, left, coverage, &or_watched(&excluded));
         if !claimed {
-            await_room(draft, pool, pending, left, &excluded);
+            // Room held on a reserved worker would make it count as used, and open it to others.
+            await_room(draft, pool, pending, left, &or_watched(&closed));
         }
     }
 
