Let runs lapse no earlier after a failed poll

Since a worker that has crashed gets no lease after its first failed poll, so its runs lapsed up to a second earlier. `worker_down_longer_than_lease` failed: a task that crashes its workers, which were each down for 12 s, was started 5 times instead of 4 at most before the crashes were known. The end of the lease counts as before, whether or not the poll carries one.

--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -413,9 +413,13 @@
     /// Returns the lease to request with the next poll, as a deadline on the worker's clock in
     /// milliseconds; `None` if the lease is not renewed.
     pub fn renew_lease(&mut self, now: Time) -> Option<u64> {
-        let deadline = self.deadline(now)?;
-        self.lease_until = self.lease_until.max(self.grant_until);
-        Some(deadline)
+        let is_recent = self.last_answer.is_some_and(|at| now.since(at) <= RENEWAL_CUTOFF);
+        // Counted also for a poll that has to do without, so that one lost answer does not make the
+        // runs lapse earlier: a task that crashes its workers is repeated until a crash is known.
+        if is_recent && self.grant_until > now {
+            self.lease_until = self.lease_until.max(self.grant_until);
+        }
+        self.deadline(now)
     }
 
     /// Applies the worker's answer to a poll that was sent at `sent`. Returns whether runs have
