Ignore a deregistration of an earlier life of the worker

Callers saw nothing; by test only. A deregistration names its worker by the id alone, which the next life may have too. One that arrives after a heartbeat of that life, for example since the agent was suspended and both wait at its port, was taken for it: what it runs ended on the books, and so did all its heartbeats, since they then belong to a worker that has left. It got no more work until it started again.

The body of a deregistration tells the start of the life that leaves (born, as in all that a worker says of itself). One of an earlier life than the present changes nothing now. Without a start it counts as before.

deregistration_of_earlier_life failed before (the report stays Absent, without an id, for 20 s) and passes now; deregistration_of_present_life passes before and now.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -191,9 +191,13 @@
         }
     }
 
-    /// Records that the worker has left.
-    pub fn left(&self, id: &str) {
+    /// Records that the worker has left. `started_ms` is the start time of the incarnation that has, if it
+    /// is known: a notice of an earlier one with the same id may arrive late, and is ignored.
+    pub fn left(&self, id: &str, started_ms: Option<u64>) {
         let mut state = self.shared.lock();
+        if started_ms.is_some_and(|left| left < state.reconciler.incarnation().started_ms) {
+            return;
+        }
         state.reconciler.worker_left(clock::now(), id);
         state.urgent = true;
         log!(WorkerLeft, "id={id}");
