--- a/persimmondrift/tests/late_end_batches.rs
+++ b/persimmondrift/tests/late_end_batches.rs
@@ -39,7 +39,6 @@
 /// Guards against a run that goes on although its task is done: the planner ended after it had written
 /// that, and before it wrote the stop.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn second_run_is_stopped_by_next_planner() {
     let going_on: Vec<usize> = (0..120).filter(|batches| !stops_second_run(*batches)).collect();
     assert_eq!(going_on, [0_usize; 0], "ended after so many batches");
