Ignore a stop that an earlier incarnation has answered

An answer that was processed after the next incarnation was heard counted for that one: its first listing then ended the run, though a delayed start could still begin it there, so the task could run twice at once. A stop whose incarnation has changed meanwhile is not in flight any more, and its answer is dropped.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -511,7 +511,12 @@
                     "task={task} run={run} life={} answered={answered}",
                     addressee.incarnation
                 );
-                shared.lock().reconciler.stop_call_done(clock::now(), task, run, answered);
+                let mut state = shared.lock();
+                // An answer of an earlier incarnation says nothing of the present one.
+                let is_present =
+                    state.reconciler.incarnation().started_ms == addressee.incarnation.started_ms;
+                let answered = answered && is_present;
+                state.reconciler.stop_call_done(clock::now(), task, run, answered);
             }
         }
     }
--- a/persimmondrift/src/cell/duty/run.rs
+++ b/persimmondrift/src/cell/duty/run.rs
@@ -216,6 +216,14 @@
         left
     }
 
+    /// Makes it a run of the present incarnation again, since that is the one that it was ordered for: the
+    /// later one that was announced is not up.
+    pub fn restore(&mut self) {
+        self.leftover = None;
+        self.stop = false;
+        self.unanswered = true;
+    }
+
     /// Forgets what an incarnation of the worker has answered, since another one begins.
     pub fn begin_incarnation(&mut self) {
         self.started = None;
@@ -311,8 +319,12 @@
         }
     }
 
-    /// Records that a stop call has returned, and whether it was answered.
+    /// Records that a stop call has returned, and whether it was answered. One that was sent to an earlier
+    /// incarnation is no longer in flight, and says nothing of the present one.
     pub fn stop_call_done(&mut self, now: Time, answered: bool) {
+        if !self.in_flight {
+            return;
+        }
         self.in_flight = false;
         if answered {
             self.stopped.get_or_insert(now);
