Say what bounds the epoch of a row, and how many agents the rate of reports carries

Read as a newcomer: the first comment could not be understood, the second claimed more than docs/CAPACITY.md gives.

--- a/persimmondrift/src/cell/mirror.rs
+++ b/persimmondrift/src/cell/mirror.rs
@@ -191,8 +191,8 @@
         self.progress.prune(up_to);
     }
 
-    /// Returns the role and the version of its row. Its epoch is higher than no possible one, and not
-    /// lower than any that was in the row, even if the row cannot be read.
+    /// Returns the role and the version of its row. The epoch is bounded by what the row's version allows;
+    /// if the row cannot be read, it is that bound, so that it is not lower than any that was in the row.
     #[must_use]
     pub fn role(&self) -> (Version, Role) {
         let version = self.role.version(ROLE_KEY);
--- a/persimmondrift/src/cell/pace.rs
+++ b/persimmondrift/src/cell/pace.rs
@@ -2,8 +2,8 @@
 //!
 //! The reports of all agents go to a few partitions of the store, each of which applies a few hundred a
 //! second, one after the other. An agent whose reports take long reports less often, so that the
-//! partitions keep up with any number of agents. Without that, reports wait longer than a call's
-//! timeout, and are sent again while their first copies still wait.
+//! partitions keep up with hundreds of agents. Without that, reports wait longer than a call's timeout,
+//! and are sent again while their first copies still wait.
 
 use std::time::Duration;
 
