Find the first placement that fits without an iterator to drop

await_room built a lazy iterator, took its first element and dropped it by hand to release its borrow; find_map says the same. Behaviour is unchanged: clippy, fmt and eight test files of placement, guarantees and preemption pass (48 tests, 0 failed).

--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -96,11 +96,10 @@
     let step = &pending.request.steps[usize::from(pending.group.step)];
     let assigned = assigned(draft, pool, pending.group);
     let demand = Demand { step, count };
-    let mut placements = AWAIT_MS
+    let placement = AWAIT_MS
         .iter()
-        .filter_map(|within_ms| placement_within(pool, demand, &assigned, excluded, *within_ms));
-    if let Some(placement) = placements.next() {
-        drop(placements);
+        .find_map(|within_ms| placement_within(pool, demand, &assigned, excluded, *within_ms));
+    if let Some(placement) = placement {
         pool.waiting_holds += 1;
         hold_room(pool, step, &placement);
     }
