--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -348,9 +348,16 @@
     };
     *known = row.version;
     let config = Arc::new(config);
+    let (bytes, took) = (row.value.as_ref().map_or(0, Vec::len), clock::now().since(sent));
     let mut state = shared.lock();
     if state.access.update(&config, sent) {
-        log!(InForce, "config={} row={}", config.version, row.version);
+        log!(
+            InForce,
+            "config={} row={} bytes={bytes} took_ms={}",
+            config.version,
+            row.version,
+            took.as_millis()
+        );
         state.changes += 1;
         drop(state);
         shared.changed.notify_all();
