--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -76,6 +76,9 @@
     pub rows: Rows,
     /// Configuration that the planner uses.
     pub config: Config,
+    /// How far the time of day of the planner's VM is ahead of true time, in milliseconds; negative if
+    /// it is behind.
+    pub planner_skew_ms: i64,
     vms: Vec<Vm>,
     planner: Option<(Planner, Term)>,
     /// What the entry that plans has read.
@@ -177,6 +180,7 @@
             now: Time::from_secs(100),
             rows: Rows::default(),
             config,
+            planner_skew_ms: 0,
             vms: vms.collect(),
             planner: None,
             mirrors: Mirrors::default(),
@@ -505,6 +509,7 @@
         if self.takeover_blocked {
             return;
         }
+        let wall_ms = self.wall_ms().saturating_add_signed(self.planner_skew_ms);
         if self.planner.is_none() {
             self.mirrors = Mirrors::default();
         }
@@ -528,7 +533,7 @@
         };
         let plan = planner.plan(Input {
             now: self.now,
-            wall_ms: self.now.0 / 1_000,
+            wall_ms,
             config: &self.config,
             jobs,
             orders,
