Count the retention of ended jobs by the store's clock

Callers were told that jobs which had ended were not known, long before the retention time was over (LOST), or the state of ended jobs was kept too long.

Cause: the planner stored the end of a job by the time of day of its own VM, and the planner that removed the job compared it with the time of day of another VM, or of the same one after its clock was set.

The store's answers hold its steady clock, which no VM can set. A process now keeps bounds of the store's time from the newest answer and its own boot-time clock. A job's end is stored as the latest bound, in a new third part of its progress, and the age of the end counts from it to the earliest bound, so that a slow answer or a suspended process only makes the state stay longer. The time for which the planner itself has seen the final state counts as well: it alone decides where the row was written by an earlier version, the store gives no clock, or its clock was reset. The time of day is still stored, since earlier versions read it, and decides nothing.

old_rows: later_parts_are_ignored appended its unknown part to a row without an end, where the third part now stands. It appends it after all known parts now, as a later version does, and likewise expects it to be ignored; truncations are checked at each byte of a row of three parts too.

--- a/persimmondrift/src/cell.rs
+++ b/persimmondrift/src/cell.rs
@@ -26,6 +26,7 @@
 pub mod reserve;
 pub mod role;
 pub mod split;
+pub mod store_clock;
 
 pub mod duty;
 pub mod follow;
--- a/persimmondrift/src/cell/codec.rs
+++ b/persimmondrift/src/cell/codec.rs
@@ -11,6 +11,7 @@
 
 use super::job::{Resources, Task};
 use super::record::{self, Condition, Incarnation, Phase, State};
+use crate::unit::StoreTime;
 
 /// Maximum size of an encoded 32-bit number in bytes.
 const MAX_NUMBER_BYTES: usize = 5;
@@ -40,12 +41,17 @@
 impl Record for record::Progress {
     fn to_row(&self) -> Vec<u8> {
         let row = append(Vec::new(), &Progress::from(self));
-        append_later(row, &ProgressCrashes::from(self))
+        let (crashes, end) = (ProgressCrashes::from(self), ProgressEnd { at: self.ended_at });
+        if end == ProgressEnd::default() {
+            return append_later(row, &crashes);
+        }
+        append(append(row, &crashes), &end)
     }
 
     fn from_row(mut value: &[u8]) -> Option<Self> {
-        let mut progress = take::<Progress>(&mut value)?.into();
+        let mut progress: Self = take::<Progress>(&mut value)?.into();
         take_later::<ProgressCrashes>(&mut value)?.apply(&mut progress)?;
+        progress.ended_at = take_later::<ProgressEnd>(&mut value)?.at;
         Some(progress)
     }
 }
@@ -158,6 +164,7 @@
         Self {
             state: part.state,
             ended_ms: part.ended_ms,
+            ended_at: None,
             tasks: part.tasks.into_iter().map(task).collect(),
         }
     }
@@ -187,6 +194,13 @@
     }
 }
 
+/// Third part of a job's progress.
+#[derive(Debug, PartialEq, Default, Serialize, Deserialize)]
+struct ProgressEnd {
+    /// When the state became final.
+    at: Option<StoreTime>,
+}
+
 /// First part of an agent's report.
 #[derive(Debug, Serialize, Deserialize)]
 struct Worker {
--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -19,7 +19,8 @@
 use super::planner;
 use super::record::ROLE_KEY;
 use super::role::{Reach, Succession};
-use super::table::{CALL_TIMEOUT, Calls, Error, Feed, PAGE_TIMEOUT, Row, Table};
+use super::store_clock;
+use super::table::{CALL_TIMEOUT, Calls, Error, Feed, PAGE_TIMEOUT, Row, Snapshot, Table};
 use crate::unit::{Time, Version};
 use crate::{log, warn};
 
@@ -92,6 +93,8 @@
     loaded: bool,
     /// Version up to which the jobs in memory are complete.
     complete_to: Version,
+    /// The store's clock, by the answers about jobs.
+    store_clock: store_clock::Clock,
     /// When the last call was sent that verified the jobs in memory.
     verified_at: Time,
     access: Access,
@@ -115,6 +118,7 @@
             jobs: Arc::default(),
             loaded: false,
             complete_to: Version(0),
+            store_clock: store_clock::Clock::default(),
             verified_at: Time(0),
             access: Access::new(settings.revoke_within),
             succession: Succession::default(),
@@ -203,6 +207,11 @@
         self.min_read_us.fetch_min(took, Ordering::Relaxed);
     }
 
+    /// Records the store's clock in an answer to a call that was sent at `sent`.
+    fn record_store_time(&self, sent: Time, answer: &Snapshot) {
+        self.lock().store_clock.record(sent, clock::now(), answer.now);
+    }
+
     /// Returns how this entry reaches the store.
     fn reach(&self) -> Reach {
         let micros = self.min_read_us.load(Ordering::Relaxed).min(1_000_000);
@@ -214,6 +223,7 @@
         let sent = clock::now();
         let snapshot = (self.store.scan)(Table::Jobs, "", "", PAGE_TIMEOUT)?;
         self.record_read_time(sent);
+        self.record_store_time(sent, &snapshot);
         let version = snapshot.version;
         let mut state = self.lock();
         Arc::make_mut(&mut state.jobs).reset(snapshot);
@@ -241,7 +251,11 @@
             continue;
         };
         let sent = clock::now();
-        match (shared.store.watch)(Table::Jobs, Feed::default(), after, WATCH_WAIT) {
+        let read = (shared.store.watch)(Table::Jobs, Feed::default(), after, WATCH_WAIT);
+        if let Ok(snapshot) = &read {
+            shared.record_store_time(sent, snapshot);
+        }
+        match read {
             Ok(snapshot) if snapshot.rows.is_empty() => verify_role(shared, &mut position),
             Ok(snapshot) => {
                 shared.apply(&snapshot.rows);
--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -188,13 +188,14 @@
         let Some(config) = state.access.config().cloned() else {
             continue;
         };
-        let jobs = Arc::clone(&state.jobs);
+        let (jobs, store_clock) = (Arc::clone(&state.jobs), state.store_clock);
         drop(state);
         let begin = clock::now();
         let workers = data.lock();
         let plan = planner.plan(Input {
             now: clock::now(),
             wall_ms: clock::wall_ms(),
+            store_now: store_clock.at(clock::now()),
             config: &config,
             jobs: &jobs,
             orders: &orders,
--- a/persimmondrift/src/cell/mirror.rs
+++ b/persimmondrift/src/cell/mirror.rs
@@ -167,7 +167,7 @@
 
     /// Applies a snapshot of the whole table.
     pub fn reset(&mut self, snapshot: Snapshot) {
-        let Snapshot { rows, version, now_ms } = snapshot;
+        let Snapshot { rows, version, now } = snapshot;
         let mut parts: [Vec<Row>; 3] = Default::default();
         for row in rows {
             let part = match row.key.as_str() {
@@ -178,7 +178,7 @@
             };
             parts[part].push(row);
         }
-        let [role, accepted, progress] = parts.map(|rows| Snapshot { rows, version, now_ms });
+        let [role, accepted, progress] = parts.map(|rows| Snapshot { rows, version, now });
         self.role.reset(&role);
         self.accepted.reset_checked(&accepted, |_, job| job.is_valid());
         let Self { accepted, progress: own, .. } = self;
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -40,6 +40,7 @@
 use super::rank::Rank;
 use super::record::{Job, Order, Worker};
 use super::reserve::Reserve;
+use super::store_clock;
 use super::table::{Batch, Write};
 use crate::unit::{Epoch, Time, Version};
 
@@ -53,6 +54,8 @@
     pub now: Time,
     /// Current wall-clock time in milliseconds since 1970.
     pub wall_ms: u64,
+    /// Current time of the store's clock; `None` if the store gives none.
+    pub store_now: Option<store_clock::Bounds>,
     /// The configuration in force.
     pub config: &'a Config,
     /// Accepted jobs and their progress.
@@ -261,6 +264,8 @@
     checkpoints: HashMap<Task, (u32, String)>,
     /// Jobs with a row that the store does not accept. They are about to end.
     unwritable: BTreeSet<Id>,
+    /// When this planner first saw the final state of each ended job.
+    ended_seen: HashMap<Id, Time>,
     /// Last fault of each agent's worker.
     last_faults: HashMap<String, Fault>,
     /// When each quarantine that is in force was first noticed.
@@ -287,6 +292,7 @@
             failed_on: HashMap::new(),
             checkpoints: HashMap::new(),
             unwritable: BTreeSet::new(),
+            ended_seen: HashMap::new(),
             last_faults: HashMap::new(),
             quarantines: HashMap::new(),
             wait_log: observe::WaitLog::default(),
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::draft::{Draft, OrderKey};
-use super::{Basis, Cause, Claim, Decision, Fault, Planner, queue_of, request_of};
+use super::{Basis, Cause, Claim, Decision, Fault, Input, Planner, queue_of, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
@@ -12,6 +12,7 @@
     Worker,
 };
 use crate::cell::table::Table;
+use crate::unit::StoreTime;
 
 /// Minimum time without progress after which a task is stopped. Longer than a restart from a
 /// checkpoint and than the interval between two reports.
@@ -292,9 +293,9 @@
                 .any(|((_, group), order)| group.job == id && !order.tasks.is_empty());
             let progress = draft.progress(id, request);
             if progress.state.is_final() {
-                let retention_ms =
-                    u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
-                if !ordered && input.wall_ms.saturating_sub(progress.ended_ms) > retention_ms {
+                let ended_at = progress.ended_at;
+                let age = self.time_since_end(&input, id, ended_at);
+                if !ordered && age > self.settings.retention {
                     let key = record::job_key(id);
                     let version = input.jobs.accepted.version(&key);
                     draft.add_row_update(Table::Jobs, key, version, None);
@@ -327,6 +328,22 @@
             }
         }
         self.unwritable.retain(|id| request_of(input.jobs, *id).is_some());
+        self.ended_seen.retain(|id, _| request_of(input.jobs, *id).is_some());
+    }
+
+    /// Returns the time for which the state of a job has been final, at least: by the store's clock, or
+    /// since this planner first saw it. The time of day differs between VMs and may be set.
+    fn time_since_end(
+        &mut self,
+        input: &Input<'_>,
+        id: Id,
+        ended_at: Option<StoreTime>,
+    ) -> Duration {
+        let seen = *self.ended_seen.entry(id).or_insert(input.now);
+        let since_end = ended_at.zip(input.store_now).map_or(Duration::ZERO, |(ended_at, now)| {
+            Duration::from_millis(now.earliest.0.saturating_sub(ended_at.0))
+        });
+        since_end.max(input.now.since(seen))
     }
 }
 
@@ -338,10 +355,12 @@
     failure: Option<Failure>,
 ) {
     let wall_ms = draft.input.wall_ms;
+    let ended_at = draft.input.store_now.map(|now| now.latest);
     if let Some((_, request)) = request_of(draft.input.jobs, id) {
         let progress = draft.progress_mut(id, request);
         progress.state = state;
         progress.ended_ms = wall_ms;
+        progress.ended_at = ended_at;
     }
     draft.add_decision(Decision::Concluded {
         job: id,
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -71,7 +71,7 @@
     #[must_use]
     pub fn new(request: &Request) -> Self {
         let tasks = vec![TaskProgress::default(); size(request)];
-        Self { state: State::Queued, ended_ms: 0, tasks }
+        Self { state: State::Queued, ended_ms: 0, ended_at: None, tasks }
     }
 
     /// Returns whether it has as many tasks as the job.
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -10,7 +10,7 @@
 use super::access::Queue;
 use super::codec;
 use super::job::{Group, Id, Request, Resources, Task};
-use crate::unit::Epoch;
+use crate::unit::{Epoch, StoreTime};
 
 /// Key of the planner's role.
 pub const ROLE_KEY: &str = "role";
@@ -173,8 +173,12 @@
 pub struct Progress {
     /// State that callers see.
     pub state: State,
-    /// When the state became final, in milliseconds since 1970; 0 before.
+    /// When the state became final by the time of day of the planner's VM, in milliseconds since 1970; 0
+    /// before. Earlier versions of the program count the age of the end from it.
     pub ended_ms: u64,
+    /// When the state became final by the store's clock, at the latest; `None` before, or if the store
+    /// or an earlier version of the program gave no time.
+    pub ended_at: Option<StoreTime>,
     /// All tasks, ordered by occurrence, step and index.
     pub tasks: Vec<TaskProgress>,
 }
--- a/persimmondrift/src/cell/table.rs
+++ b/persimmondrift/src/cell/table.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::record::JOB_PREFIX;
-use crate::unit::Version;
+use crate::unit::{StoreTime, Version};
 
 /// Timeout of one call to the store. A call takes 70 ms across regions.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -180,8 +180,8 @@
     pub rows: Vec<Row>,
     /// Newest version at that moment.
     pub version: Version,
-    /// The store's monotonic clock in milliseconds.
-    pub now_ms: u64,
+    /// The store's clock, at some time between the call and the answer; 0 if the store gave none.
+    pub now: StoreTime,
 }
 
 /// Reason why a call has no result.
--- a/persimmondrift/src/unit.rs
+++ b/persimmondrift/src/unit.rs
@@ -246,6 +246,10 @@
     /// Number of processor cores.
     Cores, u32
 );
+number!(
+    /// Time of the store's clock in milliseconds. The clock is steady and the same for all processes.
+    StoreTime, u64
+);
 number!(
     /// Memory size in mebibytes.
     Mebibytes, u64
--- a/persimmondrift/tests/old_rows.rs
+++ b/persimmondrift/tests/old_rows.rs
@@ -1,4 +1,5 @@
-//! Rows that the version before crashes were recorded (7bb5b9d) wrote, and rows that it has to read.
+//! Rows that the version before crashes were recorded (7bb5b9d) wrote, and rows that it has to read; and
+//! those of the version before ends were recorded by the store's clock (af0a18a).
 
 use persimmondrift::cell::access::Queue;
 use persimmondrift::cell::job::{Id, Request, Resources, Step, Task};
@@ -6,7 +7,7 @@
     self, Condition, Crash, End, Ending, Incarnation, Job, Loss, Order, OrderTask, Phase, Progress,
     Role, Running, State, TaskProgress, Worker,
 };
-use persimmondrift::unit::Epoch;
+use persimmondrift::unit::{Epoch, StoreTime};
 
 const PROGRESS: &str = "0100030107020503632d36000000000002ac02000000";
 const ENDED_PROGRESS: &str = "03b3f38099a434010003030000";
@@ -50,12 +51,13 @@
     };
     let done = TaskProgress { phase: Phase::Done, run: 300, ..TaskProgress::default() };
     let tasks = vec![ordered, TaskProgress::default(), done];
-    Progress { state: State::Running, ended_ms: 0, tasks }
+    Progress { state: State::Running, ended_ms: 0, ended_at: None, tasks }
 }
 
 fn ended_progress() -> Progress {
     let task = TaskProgress { run: 3, failures: 3, ..TaskProgress::default() };
-    Progress { state: State::Failed, ended_ms: STARTED_MS + 15_123, tasks: vec![task] }
+    let ended_ms = STARTED_MS + 15_123;
+    Progress { state: State::Failed, ended_ms, ended_at: None, tasks: vec![task] }
 }
 
 fn report() -> Worker {
@@ -156,6 +158,13 @@
     progress
 }
 
+/// The end of the progress with crashes, with the store's time: all parts of the row.
+fn timed_progress() -> Progress {
+    let ended_ms = STARTED_MS + 15_123;
+    let ended_at = Some(StoreTime(482_113));
+    Progress { state: State::Failed, ended_ms, ended_at, ..crashed_progress() }
+}
+
 /// The report with three more lapses, or crashes if they are known to be, beside ages and losses.
 fn crash_report(crashes: bool) -> Worker {
     let mut worker = report();
@@ -247,6 +256,28 @@
     let row = record::encode(&crashed_progress());
     assert!(row.len() > bytes(PROGRESS).len() && row.starts_with(&bytes(PROGRESS)));
     assert_eq!(old_progress(&row), old_progress(&bytes(PROGRESS)));
+    let untimed = Progress { ended_at: None, ..timed_progress() };
+    let row = record::encode(&timed_progress());
+    assert_eq!(old_progress(&row), old_progress(&record::encode(&untimed)));
+}
+
+/// A progress without crashes has an empty second part before the end.
+#[test]
+fn end_follows_crashes() {
+    let progress = Progress { ended_at: Some(StoreTime(300)), ..ended_progress() };
+    let row = record::encode(&progress);
+    assert_eq!(row, bytes(&format!("{ENDED_PROGRESS}0001ac02")));
+    assert_eq!(record::decode(&row), Some(progress));
+}
+
+/// The version that knew crashes and no end reads two parts, and writes them again.
+#[test]
+fn second_version_drops_end() {
+    let untimed = Progress { ended_at: None, ..timed_progress() };
+    let row = record::encode(&untimed);
+    let timed = record::encode(&timed_progress());
+    assert!(timed.len() > row.len() && timed.starts_with(&row));
+    assert_eq!(record::decode(&row), Some(untimed));
 }
 
 #[test]
@@ -277,29 +308,37 @@
 fn new_facts_are_kept() {
     let row = record::encode(&crashed_progress());
     assert_eq!(record::decode(&row), Some(crashed_progress()));
+    let row = record::encode(&timed_progress());
+    assert_eq!(record::decode(&row), Some(timed_progress()));
     let row = record::encode(&crash_report(true));
     assert_eq!(record::decode(&row), Some(crash_report(true)));
 }
 
-/// A part that a later version appends is ignored.
+/// A part that a later version appends, after all parts that this version knows, is ignored.
 #[test]
 fn later_parts_are_ignored() {
     let later = |row: Vec<u8>| postcard::to_extend(&("later", 7), row).expect("encoded");
-    let row = later(record::encode(&crashed_progress()));
-    assert_eq!(record::decode(&row), Some(crashed_progress()));
+    let row = later(record::encode(&timed_progress()));
+    assert_eq!(record::decode(&row), Some(timed_progress()));
     let row = later(record::encode(&crash_report(true)));
     assert_eq!(record::decode(&row), Some(crash_report(true)));
     let row = later(record::encode(&order()));
     assert_eq!(record::decode(&row), Some(order()));
 }
 
-/// Each truncation is malformed, but for the one after the first part.
+/// Each truncation is malformed, but for those between two parts.
 #[test]
 fn truncated_rows_are_malformed() {
     let row = record::encode(&crashed_progress());
     for end in (0..row.len()).filter(|end| *end != bytes(PROGRESS).len()) {
         assert_eq!(record::decode::<Progress>(&row[..end]), None, "{end} bytes");
     }
+    let row = record::encode(&timed_progress());
+    let first = postcard::to_stdvec(&old_progress(&row)).expect("encoded").len();
+    let second = record::encode(&Progress { ended_at: None, ..timed_progress() }).len();
+    for end in (0..row.len()).filter(|end| ![first, second].contains(end)) {
+        assert_eq!(record::decode::<Progress>(&row[..end]), None, "{end} bytes");
+    }
     let row = record::encode(&crash_report(true));
     let first = postcard::to_stdvec(&old_report(&row)).expect("encoded").len();
     for end in (0..row.len()).filter(|end| *end != first) {
--- a/persimmondrift/tests/planner_rounds.rs
+++ b/persimmondrift/tests/planner_rounds.rs
@@ -69,6 +69,7 @@
     planner.plan(Input {
         now: Time::from_secs(second),
         wall_ms: second * 1_000,
+        store_now: None,
         config: &Config::default(),
         jobs: &rows.jobs,
         orders: &rows.orders,
--- a/persimmondrift/tests/set_clocks.rs
+++ b/persimmondrift/tests/set_clocks.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use persimmondrift::cell::job::{Id, Request, Resources, Step};
-use persimmondrift::cell::record::State;
+use persimmondrift::cell::record::{self, Progress, State};
+use persimmondrift::cell::table::{Table, Write};
 use standin::cell::Cell;
 
 /// How long the rows of an ended job are kept.
@@ -25,12 +26,17 @@
 fn cell_with_ended_job(skew_ms: i64) -> Cell {
     let mut cell = Cell::new(1);
     cell.planner_skew_ms = skew_ms;
+    end_job(&mut cell);
+    cell
+}
+
+/// Runs a job until it ends.
+fn end_job(cell: &mut Cell) {
     cell.run(Duration::from_secs(2));
     cell.submit(JOB, "normal", "ana", request());
     let ended =
         cell.run_until(Duration::from_secs(10), |cell| cell.state(JOB) == Some(State::Completed));
     assert!(ended);
-    cell
 }
 
 /// Returns how long the state of a job that has just ended is kept, up to twice the retention.
@@ -53,7 +59,6 @@
 
 /// Guards against the state of ended jobs that is removed at once, since the planner's clock is ahead.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn clock_ahead_after_end() {
     let mut cell = cell_with_ended_job(0);
     cell.planner_skew_ms = SKEW_MS;
@@ -62,7 +67,6 @@
 
 /// Guards against the state of ended jobs that is kept too long, since the planner's clock is behind.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn clock_behind_after_end() {
     let mut cell = cell_with_ended_job(0);
     cell.planner_skew_ms = -SKEW_MS;
@@ -71,7 +75,6 @@
 
 /// Guards against a wrong clock at the end of a job that is right later.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn clock_wrong_at_end() {
     for skew_ms in [SKEW_MS, -SKEW_MS] {
         let mut cell = cell_with_ended_job(skew_ms);
@@ -82,7 +85,6 @@
 
 /// Guards against a planner that takes over with another time of day than its predecessor's.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn takeover_with_another_clock() {
     for skew_ms in [SKEW_MS, -SKEW_MS] {
         let mut cell = cell_with_ended_job(0);
@@ -94,3 +96,56 @@
         assert_kept_for_retention(cell.now.since(begin), &format!("{skew_ms} ms"));
     }
 }
+
+/// Guards against a planner that takes over and counts from its own start.
+#[test]
+fn takeovers_do_not_extend_retention() {
+    let mut cell = cell_with_ended_job(0);
+    let begin = cell.now;
+    for _ in 0..5 {
+        cell.run(RETENTION / 6);
+        cell.crash_planner();
+    }
+    time_kept(&mut cell);
+    assert_kept_for_retention(cell.now.since(begin), "5 takeovers");
+}
+
+/// Without a clock of the store, the time since the planner first saw the end counts.
+#[test]
+fn store_without_clock() {
+    for skew_ms in [SKEW_MS, -SKEW_MS] {
+        let mut cell = Cell::new(1);
+        cell.store_has_clock = false;
+        end_job(&mut cell);
+        cell.planner_skew_ms = skew_ms;
+        assert_kept_for_retention(time_kept(&mut cell), &format!("{skew_ms} ms, no clock"));
+    }
+}
+
+/// Guards against the state of a job that a planner of an earlier version has ended, by a time of day
+/// that is far behind.
+#[test]
+fn end_by_earlier_version() {
+    for (skew_ms, store_has_clock) in [(SKEW_MS, true), (-SKEW_MS, true), (SKEW_MS, false)] {
+        let mut cell = cell_with_ended_job(0);
+        let key = record::progress_key(JOB);
+        let row = cell.rows.get(Table::Jobs, &key).and_then(|row| row.value).expect("progress");
+        let progress: Progress = record::decode(&row).expect("readable");
+        let (ended_ms, ended_at) = (progress.ended_ms.saturating_add_signed(-skew_ms), None);
+        let value = Some(record::encode(&Progress { ended_ms, ended_at, ..progress }));
+        cell.rows.write(Write { table: Table::Jobs, key, value });
+        cell.crash_planner();
+        cell.store_has_clock = store_has_clock;
+        assert_kept_for_retention(time_kept(&mut cell), &format!("{skew_ms} ms"));
+    }
+}
+
+/// Guards against state that is removed early or never since the store's clock was reset.
+#[test]
+fn store_clock_reset() {
+    let mut cell = cell_with_ended_job(0);
+    cell.run(RETENTION / 2);
+    cell.store_start_ms = 1_000;
+    cell.crash_planner();
+    assert_kept_for_retention(time_kept(&mut cell), "reset");
+}
--- a/persimmondrift/tests/stalled_gangs.rs
+++ b/persimmondrift/tests/stalled_gangs.rs
@@ -102,6 +102,7 @@
         let plan = self.planner.plan(Input {
             now,
             wall_ms: now_ms,
+            store_now: None,
             config: &Config::default(),
             jobs: &self.jobs,
             orders: &self.orders,
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -19,14 +19,17 @@
 use persimmondrift::cell::report::{self, Ack, Reporter};
 use persimmondrift::cell::role::{Term, WriteResult};
 use persimmondrift::cell::split;
+use persimmondrift::cell::store_clock;
 use persimmondrift::cell::table::{MAX_BATCH_ENTRIES, MAX_ROW_BYTES, Row, Table, Write};
-use persimmondrift::unit::{Epoch, Time, Version};
+use persimmondrift::unit::{Epoch, StoreTime, Time, Version};
 
 pub use rows::{MAX_BATCH_BYTES, Rows, check_limits};
 pub use target::{ACCELERATOR_CORES, CAPACITY, Failure, Size, Target};
 
 /// Virtual time of one step of the simulation.
 const STEP: Duration = Duration::from_millis(50);
+/// Default of [`Cell::store_start_ms`].
+const STORE_START_MS: u64 = 5_000_000;
 /// Time after which a start without an answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum lease that a worker holds.
@@ -50,6 +53,7 @@
     jobs: Jobs,
     orders: Mirror<Order>,
     workers: Mirror<Worker>,
+    store_clock: store_clock::Clock,
 }
 
 /// A VM with a worker and its agent.
@@ -79,6 +83,10 @@
     /// How far the time of day of the planner's VM is ahead of true time, in milliseconds; negative if
     /// it is behind.
     pub planner_skew_ms: i64,
+    /// Whether the store's answers hold its clock.
+    pub store_has_clock: bool,
+    /// Time of the store's clock at virtual time 0, in milliseconds.
+    pub store_start_ms: u64,
     vms: Vec<Vm>,
     planner: Option<(Planner, Term)>,
     /// What the entry that plans has read.
@@ -181,6 +189,8 @@
             rows: Rows::default(),
             config,
             planner_skew_ms: 0,
+            store_has_clock: true,
+            store_start_ms: STORE_START_MS,
             vms: vms.collect(),
             planner: None,
             mirrors: Mirrors::default(),
@@ -376,6 +386,9 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
+        let store_ms =
+            if self.store_has_clock { self.store_start_ms + self.now.0 / 1_000 } else { 0 };
+        self.rows.now = StoreTime(store_ms);
         for vm in &mut self.vms {
             vm.worker.advance(STEP);
         }
@@ -513,8 +526,10 @@
         if self.planner.is_none() {
             self.mirrors = Mirrors::default();
         }
-        let Mirrors { jobs, orders, workers } = &mut self.mirrors;
-        jobs.reset(self.rows.snapshot(Table::Jobs));
+        let Mirrors { jobs, orders, workers, store_clock } = &mut self.mirrors;
+        let snapshot = self.rows.snapshot(Table::Jobs);
+        store_clock.record(self.now, self.now, snapshot.now);
+        jobs.reset(snapshot);
         orders.reset(&self.rows.snapshot(Table::Orders));
         workers.reset(&self.rows.snapshot(Table::Workers));
         if self.planner.is_none() {
@@ -534,6 +549,7 @@
         let plan = planner.plan(Input {
             now: self.now,
             wall_ms,
+            store_now: store_clock.at(self.now),
             config: &self.config,
             jobs,
             orders,
--- a/standin/src/cell/rows.rs
+++ b/standin/src/cell/rows.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use persimmondrift::cell::table::{Batch, Outcome, Partition, Row, Snapshot, Table, Write};
-use persimmondrift::unit::Version;
+use persimmondrift::unit::{StoreTime, Version};
 
 /// Maximum number of entries in a batch: conditions and writes.
 const MAX_BATCH_ENTRIES: usize = 100;
@@ -18,8 +18,10 @@
 /// The rows of the store. Removed rows stay as tombstones.
 #[derive(Debug, Clone, Default)]
 pub struct Rows {
-    rows: BTreeMap<(Table, String), VersionedValue>,
+    values: BTreeMap<(Table, String), VersionedValue>,
     version: Version,
+    /// The store's clock; 0 if it gives none.
+    pub now: StoreTime,
 }
 
 /// Limit of the store that a batch exceeds.
@@ -84,7 +86,7 @@
         self.version = self.version.next();
         for write in &batch.writes {
             let key = (write.table, write.key.clone());
-            self.rows.insert(key, (self.version, write.value.clone()));
+            self.values.insert(key, (self.version, write.value.clone()));
         }
         Outcome::Applied(self.version)
     }
@@ -97,7 +99,7 @@
     /// Returns a row, or `None` if it is absent or removed.
     #[must_use]
     pub fn get(&self, table: Table, key: &str) -> Option<Row> {
-        let (version, value) = self.rows.get(&(table, key.to_owned()))?;
+        let (version, value) = self.values.get(&(table, key.to_owned()))?;
         let value = Some(value.clone()?);
         Some(Row { table, key: key.to_owned(), version: *version, value })
     }
@@ -106,13 +108,13 @@
     #[must_use]
     pub fn snapshot(&self, table: Table) -> Snapshot {
         let rows = self.all(table).filter(|row| row.value.is_some()).collect();
-        Snapshot { rows, version: self.version, now_ms: 0 }
+        Snapshot { rows, version: self.version, now: self.now }
     }
 
     /// Returns the rows of a table from a key up to but not including another, with tombstones.
     pub fn range(&self, table: Table, from: &str, to: &str) -> impl Iterator<Item = Row> {
         let bounds = (table, from.to_owned())..(table, to.to_owned());
-        self.rows.range(bounds).map(|((table, key), (version, value))| Row {
+        self.values.range(bounds).map(|((table, key), (version, value))| Row {
             table: *table,
             key: key.clone(),
             version: *version,
@@ -126,11 +128,11 @@
     pub fn changes(&self, table: Table, after: Version) -> Snapshot {
         let mut rows: Vec<Row> = self.all(table).filter(|row| row.version > after).collect();
         rows.sort_by_key(|row| row.version);
-        Snapshot { rows, version: self.version, now_ms: 0 }
+        Snapshot { rows, version: self.version, now: self.now }
     }
 
     fn all(&self, table: Table) -> impl Iterator<Item = Row> {
-        let of_table = self.rows.iter().filter(move |((name, _), _)| *name == table);
+        let of_table = self.values.iter().filter(move |((name, _), _)| *name == table);
         of_table.map(|((table, key), (version, value))| Row {
             table: *table,
             key: key.clone(),
