--- a/persimmon-load/src/cell_load.rs
+++ b/persimmon-load/src/cell_load.rs
@@ -4,6 +4,8 @@
 //! Each job is worth an amount if it completes within its latency objective, less if it is late
 //! and nothing if it is very late. A scheduler is scored by the share of the worth it earns.
 
+pub mod long;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -248,6 +250,11 @@
 /// `load` multiplies the arrival rates of the deployment.
 #[must_use]
 pub fn draw(deployment: &Deployment, load: f64, seed: u64) -> Vec<Item> {
+    draw_over(deployment, load, seed, ARRIVAL_SPAN)
+}
+
+/// Draws a list as [`draw`] does, whose jobs arrive over a span of time.
+fn draw_over(deployment: &Deployment, load: f64, seed: u64, span: Duration) -> Vec<Item> {
     let mut rng = Rng::with_seed(seed);
     let mut items = Vec::new();
     for (number, kind) in deployment.kinds.iter().enumerate() {
@@ -259,7 +266,7 @@
             let inside = (begin..begin + BURST_WINDOW.1.as_secs_f64()).contains(&at);
             let factor = if inside && kind.priority == 0 { BURST_FACTOR } else { 1.0 };
             at -= (1.0 - rng.f64()).ln() / (rate * factor);
-            if at >= ARRIVAL_SPAN.as_secs_f64() {
+            if at >= span.as_secs_f64() {
                 break;
             }
             items.push(draw_item(number, kind, at, deployment, &mut rng));
@@ -324,51 +331,96 @@
 /// Replays a list through planner and agents.
 #[must_use]
 pub fn run_planner(deployment: &Deployment, items: &[Item]) -> Outcome {
-    let mut cell = Cell::with_racks(deployment.workers, deployment.rack);
-    let all = u32::try_from(deployment.workers).unwrap_or(u32::MAX) * 8;
-    let guaranteed = all * GUARANTEED_PERCENT / 100 / deployment.workspaces;
-    cell.config.queues = deployment.kinds.iter().map(queue_config).collect();
-    cell.config.workspaces = (0..deployment.workspaces)
-        .map(|number| Workspace { name: format!("w{number}"), keys: Vec::new(), guaranteed })
-        .collect();
-    cell.run(Duration::from_secs(2));
-    let begin = cell.now;
-    let mut ends = BTreeMap::new();
-    let mut claims = Claims::default();
-    let mut next = 0;
-    while cell.now.since(begin) < ARRIVAL_SPAN + COMPLETION_GRACE && ends.len() < items.len() {
-        while items.get(next).is_some_and(|item| begin + item.at <= cell.now) {
-            let item = &items[next];
-            let id = job_id(next);
-            cell.set_work_time(id, item.work);
+    let mut replay = Replay::start(deployment, items);
+    while replay.elapsed() < ARRIVAL_SPAN + COMPLETION_GRACE && replay.ends.len() < items.len() {
+        replay.step();
+    }
+    replay.into_outcome()
+}
+
+/// A list that is being replayed through planner and agents.
+struct Replay<'a> {
+    deployment: &'a Deployment,
+    items: &'a [Item],
+    cell: Cell,
+    begin: Time,
+    /// Accelerators that each workspace is guaranteed.
+    guaranteed: u32,
+    /// Number of items that were submitted.
+    submitted: usize,
+    /// Jobs that have ended, and when.
+    ends: BTreeMap<Id, (Time, State)>,
+    claims: Claims,
+}
+
+impl<'a> Replay<'a> {
+    fn start(deployment: &'a Deployment, items: &'a [Item]) -> Self {
+        let mut cell = Cell::with_racks(deployment.workers, deployment.rack);
+        let all = u32::try_from(deployment.workers).unwrap_or(u32::MAX) * 8;
+        let guaranteed = all * GUARANTEED_PERCENT / 100 / deployment.workspaces;
+        cell.config.queues = deployment.kinds.iter().map(queue_config).collect();
+        cell.config.workspaces = (0..deployment.workspaces)
+            .map(|number| Workspace { name: format!("w{number}"), keys: Vec::new(), guaranteed })
+            .collect();
+        cell.run(Duration::from_secs(2));
+        let begin = cell.now;
+        Self {
+            deployment,
+            items,
+            cell,
+            begin,
+            guaranteed,
+            submitted: 0,
+            ends: BTreeMap::new(),
+            claims: Claims::default(),
+        }
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.cell.now.since(self.begin)
+    }
+
+    /// Submits the jobs that have arrived, and advances the cell by [`TIME_STEP`].
+    fn step(&mut self) {
+        let (items, deployment) = (self.items, self.deployment);
+        while let Some(item) = items.get(self.submitted)
+            && self.begin + item.at <= self.cell.now
+        {
+            let id = job_id(self.submitted);
+            self.cell.set_work_time(id, item.work);
             let queue = deployment.kinds[item.kind].queue;
-            cell.submit(id, queue, &item.workspace, item.request.clone());
-            next += 1;
+            self.cell.submit(id, queue, &item.workspace, item.request.clone());
+            self.submitted += 1;
         }
-        cell.run(TIME_STEP);
-        for (id, state) in cell.ended() {
-            ends.entry(id).or_insert((cell.now, state));
+        self.cell.run(TIME_STEP);
+        for (id, state) in self.cell.ended() {
+            self.ends.entry(id).or_insert((self.cell.now, state));
         }
-        let unfinished = (0..next).filter(|&index| !ends.contains_key(&job_id(index)));
-        claims.check(deployment, &cell, items, unfinished, guaranteed);
+        let ends = &self.ends;
+        let unfinished = (0..self.submitted).filter(|&index| !ends.contains_key(&job_id(index)));
+        self.claims.check(deployment, &self.cell, items, unfinished, self.guaranteed);
     }
-    let took = |index: usize| -> Option<Duration> {
-        let (at, state) = ends.get(&job_id(index))?;
-        (*state == State::Completed).then(|| at.since(begin + items[index].at))
-    };
-    let mut outcome = score(deployment, items, took);
-    let lost_ms = u32::try_from(cell.lost_core_ms() / 1_000).unwrap_or(u32::MAX);
-    outcome.lost = f64::from(lost_ms) * LOST_WORTH_PER_CORE_SECOND;
-    for decision in &cell.decisions {
-        match decision {
-            Decision::Placed { count, .. } => outcome.placed += count,
-            Decision::Stopped { cause: Cause::Reclaimed, .. } => outcome.reclaimed += 1,
-            _ => {}
+
+    fn into_outcome(self) -> Outcome {
+        let (items, ends) = (self.items, self.ends);
+        let took = |index: usize| -> Option<Duration> {
+            let (at, state) = ends.get(&job_id(index))?;
+            (*state == State::Completed).then(|| at.since(self.begin + items[index].at))
+        };
+        let mut outcome = score(self.deployment, items, took);
+        let lost_ms = u32::try_from(self.cell.lost_core_ms() / 1_000).unwrap_or(u32::MAX);
+        outcome.lost = f64::from(lost_ms) * LOST_WORTH_PER_CORE_SECOND;
+        for decision in &self.cell.decisions {
+            match decision {
+                Decision::Placed { count, .. } => outcome.placed += count,
+                Decision::Stopped { cause: Cause::Reclaimed, .. } => outcome.reclaimed += 1,
+                _ => {}
+            }
         }
+        outcome.faults = self.cell.violations;
+        outcome.faults.extend(self.claims.missed);
+        outcome
     }
-    outcome.faults = cell.violations;
-    outcome.faults.extend(claims.missed);
-    outcome
 }
 
 /// Checks that guaranteed jobs start within their bound.
--- a/persimmon-load/tests/cell_load.rs
+++ b/persimmon-load/tests/cell_load.rs
@@ -1,7 +1,7 @@
 //! Replays bursts on the users' platform through planner and agents, and checks the share of the
 //! jobs' worth that is earned against the stated goals and against FIFO first-fit.
 
-use persimmon_load::cell_load::{DEPLOYMENTS, Outcome, draw, run_fifo, run_planner};
+use persimmon_load::cell_load::{DEPLOYMENTS, Outcome, draw, long, run_fifo, run_planner};
 
 const SEEDS: std::ops::Range<u64> = 201..204;
 /// Load and the share of the worth that must be earned at it.
@@ -57,3 +57,15 @@
     assert!((once.share() - again.share()).abs() < f64::EPSILON);
     assert_eq!(once.in_time, again.in_time);
 }
+
+// Guards against rows of ended jobs that leave the store too early or never, and against jobs that wait
+// beside idle room late in a day.
+#[test]
+fn long_day() {
+    let deployment = &DEPLOYMENTS[0];
+    let (load, min_share) = MIN_WORTH_SHARES[0];
+    let items = long::draw(deployment, load, SEEDS.start);
+    let outcome = long::run(deployment, &items);
+    check(&outcome, min_share, "long day");
+    assert_eq!(outcome.all.0, u32::try_from(items.len()).expect("few jobs"));
+}
