Say for each wait of a group what keeps it from each worker

E415 counted seven reasons. Workers that may take no work at all were not in it, nor room that is kept for claims or held for other groups, nor workers that fit when no placement of the whole gang or on one rack is found; and it did not say how much is in use. A report that a group waits beside free room could not be traced to its cause.

E415 now gives the share of the capacity in use, the workers left out (absent, silent, draining, revoked, with runs that have no order) and, of the others, also those that are held, claimed, unlabeled, at the limit of the step's spread, or unplaced. The number of lines is bounded as before. No placement changes.

--- a/persimmondrift/src/cell/entry/plan.rs
+++ b/persimmondrift/src/cell/entry/plan.rs
@@ -583,14 +583,25 @@
         }
         Observation::Waits { group, count, accelerators, exclusion } => log!(
             GroupWaits,
-            "group={group} count={count} accelerators={accelerators} workers={} full={} reserved={} quarantined={} probed={} failed_on={} watched={} epoch={epoch}",
+            "group={group} count={count} accelerators={accelerators} used_percent={} workers={} full={} held={} reserved={} claimed={} quarantined={} probed={} failed_on={} watched={} unlabeled={} spread={} unplaced={} absent={} silent={} draining={} revoked={} unordered={} epoch={epoch}",
+            exclusion.used_percent,
             exclusion.workers,
             exclusion.full,
+            exclusion.held,
             exclusion.reserved,
+            exclusion.claimed,
             exclusion.quarantined,
             exclusion.probed,
             exclusion.failed_on,
-            exclusion.watched
+            exclusion.watched,
+            exclusion.unlabeled,
+            exclusion.spread,
+            exclusion.unplaced,
+            exclusion.unusable.absent,
+            exclusion.unusable.silent,
+            exclusion.unusable.draining,
+            exclusion.unusable.revoked,
+            exclusion.unusable.unordered
         ),
     }
 }
--- a/persimmondrift/src/cell/pack.rs
+++ b/persimmondrift/src/cell/pack.rs
@@ -37,7 +37,9 @@
         self.has_label(step) && self.capacity.holds(step.effective_need())
     }
 
-    fn has_label(&self, step: &Step) -> bool {
+    /// Returns whether the worker has the label that a step asks for, if it does.
+    #[must_use]
+    pub fn has_label(&self, step: &Step) -> bool {
         step.label.as_ref().is_none_or(|label| self.labels.contains(label))
     }
 
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -43,7 +43,7 @@
 use super::table::{Batch, Write};
 use crate::unit::{Epoch, Time, Version};
 
-pub use observe::{Exclusion, Fault, Observation};
+pub use observe::{Exclusion, Fault, Observation, Unusable};
 pub use unsent::unsent_jobs;
 
 /// The input of a round.
--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -89,7 +89,7 @@
     if pending.rank.timeliness == Timeliness::TooLate
         || pool.waiting_holds >= MAX_WAITING_HOLDS
         || pool.long_running_waits
-        || !pool.is_busy
+        || !pool.is_busy()
     {
         return;
     }
@@ -207,8 +207,10 @@
 fn hold_room(pool: &mut Pool, step: &Step, placement: &Placement) {
     for &(index, count) in placement {
         let need = step.effective_need().times(count);
-        let beyond = need - pool.slots[index].free;
-        pool.slots[index].free = pool.slots[index].free - need;
+        let before = pool.slots[index].free;
+        let beyond = need - before;
+        pool.slots[index].free = before - need;
+        pool.held[index] = pool.held[index] + (before - pool.slots[index].free);
         let mut left = beyond - pool.stopping[index];
         pool.stopping[index] = pool.stopping[index] - beyond;
         for (_, room) in &mut pool.ending[index] {
--- a/persimmondrift/src/cell/planner/observe.rs
+++ b/persimmondrift/src/cell/planner/observe.rs
@@ -6,7 +6,7 @@
 
 use super::Planner;
 use super::draft::Draft;
-use super::place::{PendingGroup, Pool};
+use super::place::{Closed, PendingGroup, Pool, assigned};
 use crate::cell::health::Trust;
 use crate::cell::job::Group;
 use crate::unit::Time;
@@ -27,15 +27,27 @@
     Crashed,
 }
 
-/// How many workers of a pool do not take a group, by reason.
+/// How many workers of a service do not take a group, by reason.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Exclusion {
     /// Workers that may take work at all.
     pub workers: usize,
+    /// Share of the capacity of the service that is in use, in percent.
+    pub used_percent: u64,
+    /// Workers of the service that may take no work at all.
+    pub unusable: Unusable,
+    /// Workers without the label that the group asks for.
+    pub unlabeled: usize,
     /// Workers that have too few free resources.
     pub full: usize,
+    /// Workers that have too few free resources because room is held for groups of higher rank.
+    pub held: usize,
+    /// Workers that run as many tasks of the group as one worker may.
+    pub spread: usize,
     /// Workers that are kept empty for urgent work.
     pub reserved: usize,
+    /// Workers whose free resources are kept for groups that have claimed such recently.
+    pub claimed: usize,
     /// Workers that are quarantined.
     pub quarantined: usize,
     /// Workers that run the one task that probes them.
@@ -44,6 +56,24 @@
     pub failed_on: usize,
     /// Workers that have just started a suspect.
     pub watched: usize,
+    /// Workers that could run a task of the group. No placement of the whole gang, or on one rack, is
+    /// found.
+    pub unplaced: usize,
+}
+
+/// How many workers of a service may take no work, by reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Unusable {
+    /// Workers that are not up.
+    pub absent: usize,
+    /// Workers that do not answer, and those whose agent has not reported for a while.
+    pub silent: usize,
+    /// Workers that are about to leave.
+    pub draining: usize,
+    /// Workers whose session is revoked.
+    pub revoked: usize,
+    /// Workers that run a task that they have no order for.
+    pub unordered: usize,
 }
 
 /// Something that a planner has noticed, for the log.
@@ -161,7 +191,7 @@
         pool: &Pool,
         pending: &PendingGroup<'_>,
         count: u32,
-        reserved: &[bool],
+        closed: &Closed,
     ) {
         let PendingGroup { group, request, .. } = *pending;
         if count == 0 {
@@ -171,24 +201,40 @@
         if !self.wait_log.is_due(draft.input.now, group) {
             return;
         }
-        let need = request.steps[usize::from(group.step)].effective_need();
+        let step = &request.steps[usize::from(group.step)];
+        let need = step.effective_need();
         let failed = self.failed_on.get(&group);
-        let mut exclusion = Exclusion { workers: pool.slots.len(), ..Exclusion::default() };
-        for (index, (slot, reserved)) in pool.slots.iter().zip(reserved).enumerate() {
-            let reason = if failed.is_some_and(|agents| agents.contains(&slot.agent)) {
+        let assigned = assigned(draft, pool, group);
+        let mut exclusion = Exclusion {
+            workers: pool.slots.len(),
+            used_percent: pool.used_percent,
+            unusable: pool.unusable,
+            ..Exclusion::default()
+        };
+        for (index, slot) in pool.slots.iter().enumerate() {
+            let is_spread = step.spread.is_some_and(|spread| assigned[index] >= spread.into());
+            let reason = if !slot.has_label(step) {
+                &mut exclusion.unlabeled
+            } else if failed.is_some_and(|agents| agents.contains(&slot.agent)) {
                 &mut exclusion.failed_on
             } else if slot.trust == Trust::Quarantined {
                 &mut exclusion.quarantined
             } else if slot.trust == Trust::Probed && slot.free != slot.capacity {
                 &mut exclusion.probed
-            } else if !slot.free.holds(need) {
+            } else if !(slot.free + pool.held[index]).holds(need) {
                 &mut exclusion.full
+            } else if !slot.free.holds(need) {
+                &mut exclusion.held
+            } else if is_spread {
+                &mut exclusion.spread
             } else if pool.watch.is_watched(index) {
                 &mut exclusion.watched
-            } else if *reserved {
+            } else if closed.reserved[index] {
                 &mut exclusion.reserved
+            } else if closed.claimed[index] {
+                &mut exclusion.claimed
             } else {
-                continue;
+                &mut exclusion.unplaced
             };
             *reason += 1;
         }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -4,6 +4,7 @@
 
 use super::displace::await_room;
 use super::draft::{Draft, OrderKey};
+use super::observe::Unusable;
 use super::suspect::{Waiting, Watch};
 use super::{Decision, Planner, queue_of, request_of};
 use crate::cell::access::Queue;
@@ -38,10 +39,14 @@
     /// Resources that become free when runs end by themselves, with the expected time until then in
     /// milliseconds, by slot.
     pub ending: Vec<Vec<(u64, Resources)>>,
+    /// Free resources that are held for groups that wait, by slot.
+    pub held: Vec<Resources>,
     /// Number of groups that room is held for until runs end by themselves.
     pub waiting_holds: usize,
-    /// Whether so much is in use that free room is withheld from some groups for others.
-    pub is_busy: bool,
+    /// Workers of the service that may take no work.
+    pub unusable: Unusable,
+    /// Share of the capacity that is in use, in percent.
+    pub used_percent: u64,
     /// Whether a group waits whose tasks run until their job is cancelled.
     pub long_running_waits: bool,
     /// Resources by which the runs that are not being stopped exceed the capacity, by slot. Nothing
@@ -51,7 +56,31 @@
     pub watch: Watch,
 }
 
+/// Workers that a group is not placed on although it may fit, by slot.
+pub(super) struct Closed {
+    /// Workers that are not trusted, and those that the group has failed on.
+    pub excluded: Vec<bool>,
+    /// Workers that are kept empty for urgent work.
+    pub reserved: Vec<bool>,
+    /// Workers whose free resources are kept for groups that have claimed such recently.
+    pub claimed: Vec<bool>,
+}
+
+impl Closed {
+    /// Returns whether a worker is closed for any reason, by slot.
+    pub fn any(&self) -> Vec<bool> {
+        let either = |(own, other): (&bool, &bool)| *own || *other;
+        let withheld = self.reserved.iter().zip(&self.claimed).map(either);
+        self.excluded.iter().zip(withheld).map(|(own, other)| *own || other).collect()
+    }
+}
+
 impl Pool {
+    /// Returns whether so much is in use that free room is withheld from some groups for others.
+    pub fn is_busy(&self) -> bool {
+        self.used_percent >= BUSY_PERCENT
+    }
+
     /// Returns the resources of a slot that are free once the runs that are being stopped have
     /// ended, and further ones that use `released`.
     pub fn expected_free(&self, index: usize, released: Resources) -> Resources {
@@ -104,49 +133,54 @@
         pending: &PendingGroup<'_>,
         coverage: &HashMap<Id, Coverage>,
     ) {
-        let PendingGroup { group, request, .. } = *pending;
-        let step = &request.steps[usize::from(group.step)];
-        let excluded = self.excluded(pool, group, step);
-        let reserve = self.reserves.get(&pending.queue.service);
-        let empty = pool.slots.iter().filter(|slot| slot.is_empty()).count();
-        let workers = pool.slots.iter().filter(|slot| slot.has_capacity()).count();
-        let size = reserve.map_or(0, |reserve| reserve.size(workers, empty, &pending.rank));
-        let reserved = reserve::reserved(&pool.slots, |i| pool.slots[i].free, size);
-        let mut closed: Vec<bool> = excluded
-            .iter()
-            .zip(&reserved)
-            .map(|(excluded, reserved)| *excluded || *reserved)
-            .collect();
+        let step = &pending.request.steps[usize::from(pending.group.step)];
+        let closed = self.closed(draft, pool, pending);
+        let barred = closed.any();
         let may_preempt = reclaim::may_preempt(&pending.rank);
-        if let Some(pressure) = self.pressures.get(&pending.queue.service)
-            && !may_preempt
-            && pool.is_busy
-            && !step.long_running
-        {
-            let kept = pressure.kept(draft.input.now, &pending.rank);
-            pressure::close(&pool.slots, &mut closed, kept);
-        }
         let waiting = Waiting::of(draft, pending);
         if step.gang && waiting.has_suspects() {
-            self.place_gang_apart(draft, pool, pending, &closed);
+            self.place_gang_apart(draft, pool, pending, &barred);
         } else {
-            self.place_trusted(draft, pool, pending, &closed, waiting.trusted);
-            self.place_apart(draft, pool, pending, &closed, &waiting);
+            self.place_trusted(draft, pool, pending, &barred, waiting.trusted);
+            self.place_apart(draft, pool, pending, &barred, &waiting);
         }
         let left = Waiting::of(draft, pending).total();
-        self.observe_wait(draft, pool, pending, left, &reserved);
+        self.observe_wait(draft, pool, pending, left, &closed);
         if left == 0 {
             return;
         }
-        let watched: Vec<bool> = (0..excluded.len()).map(|i| pool.watch.is_watched(i)).collect();
+        let watched: Vec<bool> = (0..barred.len()).map(|i| pool.watch.is_watched(i)).collect();
         let or_watched = |barred: &[bool]| -> Vec<bool> {
             barred.iter().zip(&watched).map(|(barred, watched)| *barred || *watched).collect()
         };
         let held = may_preempt
-            && self.preempt(draft, pool, pending, left, coverage, &or_watched(&excluded));
+            && self.preempt(draft, pool, pending, left, coverage, &or_watched(&closed.excluded));
         if !held {
-            await_room(draft, pool, pending, left, &or_watched(&closed));
+            await_room(draft, pool, pending, left, &or_watched(&barred));
+        }
+    }
+
+    /// Returns the workers that a group is not placed on although it may fit.
+    fn closed(&self, draft: &Draft<'_>, pool: &Pool, pending: &PendingGroup<'_>) -> Closed {
+        let PendingGroup { group, request, queue, rank } = pending;
+        let step = &request.steps[usize::from(group.step)];
+        let excluded = self.excluded(pool, *group, step);
+        let empty = pool.slots.iter().filter(|slot| slot.is_empty()).count();
+        let workers = pool.slots.iter().filter(|slot| slot.has_capacity()).count();
+        let reserve = self.reserves.get(&queue.service);
+        let size = reserve.map_or(0, |reserve| reserve.size(workers, empty, rank));
+        let reserved = reserve::reserved(&pool.slots, |i| pool.slots[i].free, size);
+        let mut closed = Closed { claimed: vec![false; excluded.len()], excluded, reserved };
+        if let Some(pressure) = self.pressures.get(&queue.service)
+            && !reclaim::may_preempt(rank)
+            && pool.is_busy()
+            && !step.long_running
+        {
+            let mut barred = closed.any();
+            pressure::close(&pool.slots, &mut barred, pressure.kept(draft.input.now, rank));
+            closed.claimed = barred;
         }
+        closed
     }
 
     /// Places the waiting tasks of a group that are no suspects.
@@ -277,20 +311,35 @@
             slots: Vec::new(),
             stopping: Vec::new(),
             ending: Vec::new(),
+            held: Vec::new(),
             waiting_holds: 0,
-            is_busy: false,
+            unusable: Unusable::default(),
+            used_percent: 0,
             long_running_waits: waiting().any(is_long_running),
             excess: Vec::new(),
             watch: Watch::new(draft, waiting()),
         };
         let mut urgent = 0;
         for (agent, _, worker) in input.workers.iter() {
-            let usable = worker.service == service
-                && worker.condition == Readiness::Ready
-                && !worker.revoked
-                && self.is_responsive(&input, agent)
-                && !runs_unordered(draft, agent, worker);
-            if !usable {
+            if worker.service != service {
+                continue;
+            }
+            let unusable = &mut pool.unusable;
+            let reason = match worker.condition {
+                _ if worker.revoked => Some(&mut unusable.revoked),
+                Readiness::Absent => Some(&mut unusable.absent),
+                Readiness::Draining => Some(&mut unusable.draining),
+                Readiness::Silent => Some(&mut unusable.silent),
+                Readiness::Ready if !self.is_responsive(&input, agent) => {
+                    Some(&mut unusable.silent)
+                }
+                Readiness::Ready if runs_unordered(draft, agent, worker) => {
+                    Some(&mut unusable.unordered)
+                }
+                Readiness::Ready => None,
+            };
+            if let Some(reason) = reason {
+                *reason += 1;
                 continue;
             }
             let mut used = Resources::default();
@@ -322,6 +371,7 @@
             let free = if capacity.holds(used) { capacity - used } else { Resources::default() };
             pool.stopping.push(capacity - kept - free);
             pool.excess.push(kept - capacity);
+            pool.held.push(Resources::default());
             pool.watch.add_slot(agent);
             pool.slots.push(Slot {
                 agent: agent.to_owned(),
@@ -332,7 +382,7 @@
                 trust: self.health.trust_level(input.now, agent),
             });
         }
-        pool.is_busy = whole_used.saturating_mul(100) >= whole.saturating_mul(BUSY_PERCENT);
+        pool.used_percent = whole_used.saturating_mul(100).checked_div(whole).unwrap_or(100);
         self.reserves.entry(service.to_owned()).or_default().record_usage(input.now, urgent);
         pool
     }
