--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -44,7 +44,7 @@
 use super::table::{Batch, Write};
 use crate::unit::{Epoch, Time, Version};
 
-pub use observe::{Exclusion, Fault, Observation};
+pub use observe::{Exclusion, Fault, Observation, Unusable};
 pub use unsent::unsent_jobs;
 
 /// The input of a round.
