Count the age of jobs by the store's clock

A job that an entry with a wrong clock had accepted was placed last: 90 s behind, it looked too late to be of use; 90 s ahead, it looked new for 90 s. Under a planner whose clock was ahead all jobs looked too late, so that priorities were ignored.

Cause: the age of a job was the planner's time of day less that of the entry that had accepted the job.

Entries store the acceptance by the store's clock, too, in a new second part of the job's row, and the planner counts the age by the same clock. The rank holds the age instead of a time of acceptance, so that ages of both kinds can be compared; the logged waited_ms and after_ms are ages as well.

set_clocks: of two waiting jobs the second started first with the entry's clock 90 s ahead and 90 s behind, and the one of lower priority with the planner's clock 90 s ahead; accepted_by_wrong_clock and ranked_by_wrong_clock pass now. old_rows: the version before reads such jobs, and drops only the new part.

--- a/persimmondrift/src/cell/codec.rs
+++ b/persimmondrift/src/cell/codec.rs
@@ -9,7 +9,8 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use super::job::{Resources, Task};
+use super::access::Queue;
+use super::job::{Request, Resources, Task};
 use super::record::{self, Condition, Incarnation, Phase, State};
 use crate::unit::StoreTime;
 
@@ -38,6 +39,19 @@
     }
 }
 
+impl Record for record::Job {
+    fn to_row(&self) -> Vec<u8> {
+        let row = append(Vec::new(), &Job::from(self));
+        append_later(row, &JobAcceptance { at: self.accepted_at })
+    }
+
+    fn from_row(mut value: &[u8]) -> Option<Self> {
+        let mut job: Self = take::<Job>(&mut value)?.into();
+        job.accepted_at = take_later::<JobAcceptance>(&mut value)?.at;
+        Some(job)
+    }
+}
+
 impl Record for record::Progress {
     fn to_row(&self) -> Vec<u8> {
         let row = append(Vec::new(), &Progress::from(self));
@@ -117,6 +131,48 @@
     u32::try_from(index).unwrap_or(u32::MAX)
 }
 
+/// First part of a job.
+#[derive(Debug, Serialize, Deserialize)]
+struct Job {
+    queue: Queue,
+    workspace: Option<String>,
+    accepted_ms: u64,
+    cancelled: bool,
+    request: Option<Request>,
+}
+
+impl From<&record::Job> for Job {
+    fn from(job: &record::Job) -> Self {
+        Self {
+            queue: job.queue.clone(),
+            workspace: job.workspace.clone(),
+            accepted_ms: job.accepted_ms,
+            cancelled: job.cancelled,
+            request: job.request.clone(),
+        }
+    }
+}
+
+impl From<Job> for record::Job {
+    fn from(part: Job) -> Self {
+        Self {
+            queue: part.queue,
+            workspace: part.workspace,
+            accepted_ms: part.accepted_ms,
+            accepted_at: None,
+            cancelled: part.cancelled,
+            request: part.request,
+        }
+    }
+}
+
+/// Second part of a job.
+#[derive(Debug, PartialEq, Default, Serialize, Deserialize)]
+struct JobAcceptance {
+    /// When it was accepted.
+    at: Option<StoreTime>,
+}
+
 /// First part of a job's progress.
 #[derive(Debug, Serialize, Deserialize)]
 struct Progress {
--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -21,7 +21,7 @@
 use super::role::{Reach, Succession};
 use super::store_clock;
 use super::table::{CALL_TIMEOUT, Calls, Error, Feed, PAGE_TIMEOUT, Row, Snapshot, Table};
-use crate::unit::{Time, Version};
+use crate::unit::{StoreTime, Time, Version};
 use crate::{log, warn};
 
 /// Maximum wait for changed jobs in one call. Shorter than the longest gap between reads that
@@ -212,6 +212,11 @@
         self.lock().store_clock.record(sent, clock::now(), answer.now);
     }
 
+    /// Returns the time of the store's clock, at the earliest; `None` if it is not known.
+    fn store_time(&self) -> Option<StoreTime> {
+        Some(self.lock().store_clock.at(clock::now())?.earliest)
+    }
+
     /// Returns how this entry reaches the store.
     fn reach(&self) -> Reach {
         let micros = self.min_read_us.load(Ordering::Relaxed).min(1_000_000);
--- a/persimmondrift/src/cell/entry/serve.rs
+++ b/persimmondrift/src/cell/entry/serve.rs
@@ -105,6 +105,7 @@
             queue,
             workspace,
             accepted_ms: clock::wall_ms(),
+            accepted_at: self.shared.store_time(),
             cancelled: false,
             request: Some(request),
         };
--- a/persimmondrift/src/cell/intake.rs
+++ b/persimmondrift/src/cell/intake.rs
@@ -134,6 +134,7 @@
             queue: Queue::default(),
             workspace: None,
             accepted_ms: clock::wall_ms(),
+            accepted_at: None,
             cancelled: true,
             request: None,
         });
--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -70,6 +70,17 @@
     pub epoch: Epoch,
 }
 
+impl Input<'_> {
+    /// Returns the time since a job was accepted, in milliseconds. Without a time of the store's clock it
+    /// depends on the time of day of two VMs.
+    fn age_ms(&self, job: &Job) -> u64 {
+        job.accepted_at.zip(self.store_now).map_or_else(
+            || self.wall_ms.saturating_sub(job.accepted_ms),
+            |(accepted_at, now)| now.earliest.0.saturating_sub(accepted_at.0),
+        )
+    }
+}
+
 /// Time limits of a planner.
 #[derive(Debug, Clone, Copy)]
 pub struct Settings {
--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -34,8 +34,7 @@
         let step = &pending.request.steps[usize::from(pending.group.step)];
         let demand = Demand { step, count };
         let assigned = assigned(draft, pool, pending.group);
-        let waited_ms = draft.input.wall_ms.saturating_sub(pending.rank.accepted_ms);
-        let patience_ms = reclaim::patience_ms(&pending.rank, waited_ms);
+        let patience_ms = reclaim::patience_ms(&pending.rank, pending.rank.age_ms);
         for within_ms in [0, patience_ms] {
             if let Some(placement) = placement_within(pool, demand, &assigned, excluded, within_ms)
             {
@@ -268,7 +267,7 @@
     let Some(progress) = known.or(new.as_ref()) else {
         return Vec::new();
     };
-    let rank = Rank::new(queue, request, progress, job.accepted_ms, input.wall_ms, false);
+    let rank = Rank::new(queue, request, progress, input.age_ms(job), false);
     let unstopped = order.tasks.iter().filter(|task| !task.stop);
     let victim = |task: &crate::cell::record::OrderTask| {
         let id = group.task(task.index);
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -321,7 +321,7 @@
                 self.take_back_crashes(draft, id);
             }
             let failure = failure.filter(|_| state == State::Failed);
-            set_final_state(draft, id, state, job.accepted_ms, failure);
+            set_final_state(draft, id, state, input.age_ms(job), failure);
             if unwritable {
                 // What is left of the progress fits in any row.
                 draft.progress_mut(id, request).tasks.clear();
@@ -351,7 +351,7 @@
     draft: &mut Draft<'_>,
     id: Id,
     state: State,
-    accepted_ms: u64,
+    after_ms: u64,
     failure: Option<Failure>,
 ) {
     let wall_ms = draft.input.wall_ms;
@@ -362,12 +362,7 @@
         progress.ended_ms = wall_ms;
         progress.ended_at = ended_at;
     }
-    draft.add_decision(Decision::Concluded {
-        job: id,
-        state,
-        after_ms: wall_ms.saturating_sub(accepted_ms),
-        failure,
-    });
+    draft.add_decision(Decision::Concluded { job: id, state, after_ms, failure });
 }
 
 /// Returns the ends of runs of an order that the agent's report lists.
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -1,5 +1,6 @@
 //! Placement: assigns waiting groups to workers in the order of their rank, and writes the orders.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
 use super::displace::await_room;
@@ -250,14 +251,13 @@
         }
         for (agent, tasks) in orders {
             let (count, run) = (u32::try_from(tasks.len()).unwrap_or(0), tasks[0].run);
-            let waited_ms = input.wall_ms.saturating_sub(rank.accepted_ms);
             let report = input.workers.version(&agent);
             draft.add_decision(Decision::Placed {
                 group,
                 agent: agent.clone(),
                 count,
                 run,
-                waited_ms,
+                waited_ms: rank.age_ms,
                 report,
             });
             append_tasks(draft, (agent, group), request, tasks);
@@ -369,7 +369,7 @@
             continue;
         }
         let covered = coverage.get(&id).is_some_and(|coverage| coverage.covered);
-        let rank = Rank::new(queue, request, progress, job.accepted_ms, input.wall_ms, covered);
+        let rank = Rank::new(queue, request, progress, input.age_ms(job), covered);
         for group in progress.startable_groups(id, request, input.wall_ms) {
             all.push(PendingGroup { group, request, queue, rank });
         }
@@ -406,7 +406,7 @@
         let over = job.cancelled || draft.progress(id, request).state.is_final();
         if !over && queue_of(input.config, job).priority == 0 {
             let (waits, need) = (!running.contains(&id), peak_accelerators(request));
-            urgent.push((waits, job.accepted_ms, id, job.workspace.as_deref(), need));
+            urgent.push((waits, Reverse(input.age_ms(job)), id, job.workspace.as_deref(), need));
         }
     }
     urgent.sort_unstable();
--- a/persimmondrift/src/cell/rank.rs
+++ b/persimmondrift/src/cell/rank.rs
@@ -35,8 +35,8 @@
     pub guaranteed: bool,
     /// Priority of the job's queue; 0 comes first.
     pub priority: u32,
-    /// When the job was accepted, in milliseconds since 1970.
-    pub accepted_ms: u64,
+    /// Time since the job was accepted, in milliseconds.
+    pub age_ms: u64,
     /// Whether the job can still meet its objective.
     pub timeliness: Timeliness,
     /// Time by which the start may be delayed from now and the job still meets its objective, in
@@ -45,15 +45,13 @@
 }
 
 impl Rank {
-    /// Computes the rank of a job at a wall-clock time, from its age and the estimates of its
-    /// steps.
+    /// Computes the rank of a job from its age and the estimates of its steps.
     #[must_use]
     pub fn new(
         queue: &Queue,
         request: &Request,
         progress: &Progress,
-        accepted_ms: u64,
-        wall_ms: u64,
+        age_ms: u64,
         guaranteed: bool,
     ) -> Self {
         let whole = i64::from(critical_path_ms(request, None));
@@ -61,7 +59,7 @@
         let latency = i64::try_from(queue.latency_ms).unwrap_or(i64::MAX);
         let objective = (whole.saturating_mul(i64::from(queue.stretch_permille)) / 1_000)
             .saturating_add(latency);
-        let age = i64::try_from(wall_ms.saturating_sub(accepted_ms)).unwrap_or(i64::MAX);
+        let age = i64::try_from(age_ms).unwrap_or(i64::MAX);
         let slack = |objective: i64| {
             objective.saturating_sub(age).saturating_sub(rest).saturating_sub(DISPLAY_DELAY_MS)
         };
@@ -74,12 +72,12 @@
         } else {
             Timeliness::TooLate
         };
-        Self { guaranteed, priority: queue.priority, accepted_ms, timeliness, slack_ms }
+        Self { guaranteed, priority: queue.priority, age_ms, timeliness, slack_ms }
     }
 
     /// Returns the sort key; the smallest comes first.
     #[must_use]
-    pub fn key(self) -> (Reverse<bool>, u32, i64, u64) {
+    pub fn key(self) -> (Reverse<bool>, u32, i64, Reverse<u64>) {
         // Late jobs of one priority come before timely jobs of the next: they lose value with
         // time, while timely jobs have slack.
         let grade = match self.timeliness {
@@ -88,7 +86,7 @@
             Timeliness::TooLate => u32::MAX,
         };
         let slack = if self.timeliness == Timeliness::InTime { self.slack_ms } else { 0 };
-        (Reverse(self.guaranteed), grade, slack, self.accepted_ms)
+        (Reverse(self.guaranteed), grade, slack, Reverse(self.age_ms))
     }
 }
 
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -63,7 +63,7 @@
 }
 
 /// An accepted job. Written by the entry that accepts or cancels it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Job {
     /// Queue that it was submitted to, as configured then. If the queue still exists, its newest
     /// configuration applies instead.
@@ -71,8 +71,11 @@
     /// Workspace of the API key that it was submitted with; `None` without a key, which only public
     /// queues allow.
     pub workspace: Option<String>,
-    /// When it was accepted, in milliseconds since 1970.
+    /// When it was accepted by the time of day of the entry's VM, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// When it was accepted by the store's clock; `None` if the store or an earlier version of the
+    /// program gave no time.
+    pub accepted_at: Option<StoreTime>,
     /// Whether a caller cancelled it.
     pub cancelled: bool,
     /// What to run; `None` if the id was cancelled before a job was accepted.
--- a/persimmondrift/tests/claim_pressure.rs
+++ b/persimmondrift/tests/claim_pressure.rs
@@ -11,7 +11,7 @@
 
 fn rank(priority: u32) -> Rank {
     let timeliness = Timeliness::InTime;
-    Rank { guaranteed: false, priority, accepted_ms: 0, timeliness, slack_ms: 20_000 }
+    Rank { guaranteed: false, priority, age_ms: 0, timeliness, slack_ms: 20_000 }
 }
 
 fn slot(number: usize, free: u32) -> Slot {
--- a/persimmondrift/tests/crash_evidence.rs
+++ b/persimmondrift/tests/crash_evidence.rs
@@ -43,6 +43,7 @@
         queue: queue("normal", 1),
         workspace: None,
         accepted_ms: 0,
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     };
--- a/persimmondrift/tests/job_intake.rs
+++ b/persimmondrift/tests/job_intake.rs
@@ -74,6 +74,7 @@
         queue: queue("normal", 1),
         workspace: Some("ana".to_owned()),
         accepted_ms: 1,
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     }
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -30,6 +30,7 @@
         queue: cell::queue("normal", 1),
         workspace: None,
         accepted_ms: 100_000,
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     }
--- a/persimmondrift/tests/old_rows.rs
+++ b/persimmondrift/tests/old_rows.rs
@@ -1,5 +1,5 @@
 //! Rows that the version before crashes were recorded (7bb5b9d) wrote, and rows that it has to read; and
-//! those of the version before ends were recorded by the store's clock (af0a18a).
+//! those of the version before the store's time was recorded (af0a18a).
 
 use persimmondrift::cell::access::Queue;
 use persimmondrift::cell::job::{Id, Request, Resources, Step, Task};
@@ -134,11 +134,17 @@
         queue,
         workspace: Some("team".into()),
         accepted_ms: STARTED_MS + 10_000,
+        accepted_at: None,
         cancelled: true,
         request: Some(Request { spec: "text".into(), steps: vec![step], schedule: None }),
     }
 }
 
+/// The job with the store's time of its acceptance: all parts of the row.
+fn timed_job() -> Job {
+    Job { accepted_at: Some(StoreTime(300)), ..job() }
+}
+
 fn role() -> Role {
     Role { holder: "entry-1".into(), epoch: Epoch(12), tag: 99 }
 }
@@ -186,12 +192,15 @@
 
 /// Layouts of 7bb5b9d, with some fields grouped. It decodes a row with `postcard::from_bytes`.
 mod old {
-    use persimmondrift::cell::job::{Resources, Task};
+    use persimmondrift::cell::access::Queue;
+    use persimmondrift::cell::job::{Request, Resources, Task};
     use persimmondrift::cell::record::{Condition, Incarnation, Phase, State};
     use serde::{Deserialize, Serialize};
 
     pub type Progress = (State, u64, Vec<(Phase, u32, u16, u32, String)>);
 
+    pub type Job = (Queue, Option<String>, u64, bool, Option<Request>);
+
     #[derive(Debug, PartialEq, Serialize, Deserialize)]
     pub enum Ending {
         Done,
@@ -222,6 +231,10 @@
     postcard::from_bytes(value).expect("readable by the old version")
 }
 
+fn old_job(value: &[u8]) -> old::Job {
+    postcard::from_bytes(value).expect("readable by the old version")
+}
+
 fn old_report(value: &[u8]) -> old::Worker {
     postcard::from_bytes(value).expect("readable by the old version")
 }
@@ -280,6 +293,13 @@
     assert_eq!(record::decode(&row), Some(untimed));
 }
 
+#[test]
+fn old_version_reads_jobs() {
+    let row = record::encode(&timed_job());
+    assert_eq!(row, bytes(&format!("{JOB}01ac02")));
+    assert_eq!(old_job(&row), old_job(&bytes(JOB)));
+}
+
 #[test]
 fn old_version_reads_reports() {
     let row = record::encode(&crash_report(true));
@@ -292,13 +312,18 @@
     assert_eq!(seen, own);
 }
 
-/// A planner of the old version revokes a session by writing the report again.
+/// A planner of the old version revokes a session by writing the report again, and an entry cancels a job
+/// by writing it again.
 #[test]
-fn rewritten_rows_lose_crashes_only() {
+fn rewritten_rows_lose_new_facts_only() {
     let rewritten = old_report(&record::encode(&crash_report(true)));
     let row = postcard::to_stdvec(&rewritten).expect("encoded");
     assert_eq!(record::decode(&row), Some(crash_report(false)));
 
+    let rewritten = old_job(&record::encode(&timed_job()));
+    let row = postcard::to_stdvec(&rewritten).expect("encoded");
+    assert_eq!(record::decode(&row), Some(job()));
+
     let rewritten = old_progress(&record::encode(&crashed_progress()));
     let row = postcard::to_stdvec(&rewritten).expect("encoded");
     assert_eq!(record::decode(&row), Some(progress()));
@@ -312,6 +337,8 @@
     assert_eq!(record::decode(&row), Some(timed_progress()));
     let row = record::encode(&crash_report(true));
     assert_eq!(record::decode(&row), Some(crash_report(true)));
+    let row = record::encode(&timed_job());
+    assert_eq!(record::decode(&row), Some(timed_job()));
 }
 
 /// A part that a later version appends, after all parts that this version knows, is ignored.
@@ -322,6 +349,8 @@
     assert_eq!(record::decode(&row), Some(timed_progress()));
     let row = later(record::encode(&crash_report(true)));
     assert_eq!(record::decode(&row), Some(crash_report(true)));
+    let row = later(record::encode(&timed_job()));
+    assert_eq!(record::decode(&row), Some(timed_job()));
     let row = later(record::encode(&order()));
     assert_eq!(record::decode(&row), Some(order()));
 }
@@ -339,6 +368,10 @@
     for end in (0..row.len()).filter(|end| ![first, second].contains(end)) {
         assert_eq!(record::decode::<Progress>(&row[..end]), None, "{end} bytes");
     }
+    let row = record::encode(&timed_job());
+    for end in (0..row.len()).filter(|end| *end != bytes(JOB).len()) {
+        assert_eq!(record::decode::<Job>(&row[..end]), None, "{end} bytes");
+    }
     let row = record::encode(&crash_report(true));
     let first = postcard::to_stdvec(&old_report(&row)).expect("encoded").len();
     for end in (0..row.len()).filter(|end| *end != first) {
--- a/persimmondrift/tests/planner_rounds.rs
+++ b/persimmondrift/tests/planner_rounds.rs
@@ -42,6 +42,7 @@
         queue: queue("normal", 1),
         workspace: None,
         accepted_ms: 0,
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     };
--- a/persimmondrift/tests/reclaim_cost.rs
+++ b/persimmondrift/tests/reclaim_cost.rs
@@ -13,7 +13,7 @@
 const NEED: Resources = Resources { millicores: 4_000, mebibytes: 1_024, accelerators: 2 };
 
 fn rank(priority: u32, slack_ms: i64) -> Rank {
-    Rank { guaranteed: false, priority, accepted_ms: 0, timeliness: Timeliness::InTime, slack_ms }
+    Rank { guaranteed: false, priority, age_ms: 0, timeliness: Timeliness::InTime, slack_ms }
 }
 
 fn step(estimate_ms: u32, checkpoints: bool, gang: bool) -> Step {
--- a/persimmondrift/tests/round_lock.rs
+++ b/persimmondrift/tests/round_lock.rs
@@ -73,6 +73,7 @@
         queue: queue("normal", 1),
         workspace: None,
         accepted_ms: clock::wall_ms(),
+        accepted_at: None,
         cancelled: true,
         request: Some(request),
     };
--- a/persimmondrift/tests/set_clocks.rs
+++ b/persimmondrift/tests/set_clocks.rs
@@ -149,3 +149,58 @@
     cell.crash_planner();
     assert_kept_for_retention(time_kept(&mut cell), "reset");
 }
+
+/// Returns a cell whose only worker is busy, and whose planner has the given time of day.
+fn busy_cell(skew_ms: i64) -> Cell {
+    let mut cell = Cell::new(1);
+    cell.planner_skew_ms = skew_ms;
+    cell.run(Duration::from_secs(2));
+    cell.submit(JOB, "urgent", "ana", whole_worker());
+    cell.set_work_time(JOB, Duration::from_secs(4));
+    cell.run(Duration::from_secs(1));
+    assert_eq!(cell.starts(JOB), 1);
+    cell
+}
+
+fn whole_worker() -> Request {
+    let mut request = request();
+    request.steps[0].need.accelerators = 8;
+    request
+}
+
+/// Returns which of two waiting jobs starts first.
+fn first_start(cell: &mut Cell, jobs: [Id; 2]) -> Option<Id> {
+    cell.run_until(Duration::from_secs(20), |cell| jobs.iter().any(|id| cell.starts(*id) > 0));
+    jobs.into_iter().find(|id| cell.starts(*id) > 0)
+}
+
+/// Guards against a job that counts as new, or as too late to be of use, since the clock of the entry that
+/// accepted it is wrong.
+#[test]
+fn accepted_by_wrong_clock() {
+    let (first, second) = (Id(2), Id(3));
+    let started = [SKEW_MS, -SKEW_MS].map(|skew_ms| {
+        let mut cell = busy_cell(0);
+        cell.entry_skew_ms = skew_ms;
+        cell.submit(first, "normal", "ana", whole_worker());
+        cell.run(Duration::from_secs(1));
+        cell.entry_skew_ms = 0;
+        cell.submit(second, "normal", "ana", whole_worker());
+        first_start(&mut cell, [first, second])
+    });
+    assert_eq!(started, [Some(first); 2], "clock ahead, clock behind");
+}
+
+/// Guards against priorities that are ignored since all jobs count as too late by the planner's clock.
+#[test]
+fn ranked_by_wrong_clock() {
+    let (low, normal) = (Id(2), Id(3));
+    let started = [SKEW_MS, -SKEW_MS].map(|skew_ms| {
+        let mut cell = busy_cell(skew_ms);
+        cell.submit(low, "low", "ana", whole_worker());
+        cell.run(Duration::from_secs(1));
+        cell.submit(normal, "normal", "ana", whole_worker());
+        first_start(&mut cell, [low, normal])
+    });
+    assert_eq!(started, [Some(normal); 2], "clock ahead, clock behind");
+}
--- a/persimmondrift/tests/stalled_gangs.rs
+++ b/persimmondrift/tests/stalled_gangs.rs
@@ -46,6 +46,7 @@
             queue: queue("normal", 1),
             workspace: None,
             accepted_ms: 0,
+            accepted_at: None,
             cancelled: false,
             request: Some(request),
         };
--- a/persimmondrift/tests/state_reads.rs
+++ b/persimmondrift/tests/state_reads.rs
@@ -124,6 +124,7 @@
         queue: queue("normal", 1),
         workspace: None,
         accepted_ms: clock::wall_ms(),
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     };
--- a/persimmondrift/tests/task_texts.rs
+++ b/persimmondrift/tests/task_texts.rs
@@ -22,6 +22,7 @@
         queue: Queue::default(),
         workspace: None,
         accepted_ms: 1,
+        accepted_at: None,
         cancelled: false,
         request: Some(request),
     };
--- a/persimmondrift/tests/urgent_reserve.rs
+++ b/persimmondrift/tests/urgent_reserve.rs
@@ -34,7 +34,7 @@
 }
 
 fn rank(priority: u32, slack_ms: i64) -> Rank {
-    Rank { guaranteed: false, priority, accepted_ms: 0, timeliness: Timeliness::InTime, slack_ms }
+    Rank { guaranteed: false, priority, age_ms: 0, timeliness: Timeliness::InTime, slack_ms }
 }
 
 #[test]
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -83,6 +83,8 @@
     /// How far the time of day of the planner's VM is ahead of true time, in milliseconds; negative if
     /// it is behind.
     pub planner_skew_ms: i64,
+    /// The same of the VM whose entry accepts jobs.
+    pub entry_skew_ms: i64,
     /// Whether the store's answers hold its clock.
     pub store_has_clock: bool,
     /// Time of the store's clock at virtual time 0, in milliseconds.
@@ -189,6 +191,7 @@
             rows: Rows::default(),
             config,
             planner_skew_ms: 0,
+            entry_skew_ms: 0,
             store_has_clock: true,
             store_start_ms: STORE_START_MS,
             vms: vms.collect(),
@@ -219,7 +222,8 @@
         let job = Job {
             queue,
             workspace: Some(workspace.to_owned()),
-            accepted_ms: self.wall_ms(),
+            accepted_ms: self.wall_ms().saturating_add_signed(self.entry_skew_ms),
+            accepted_at: Some(self.rows.now).filter(|now| *now != StoreTime(0)),
             cancelled: false,
             request: Some(request),
         };
