Add failing tests of due times under wrong clocks

With that clock 90 s behind a due task waits for 90 s beside a free worker (90,050 ms in due_by_clock_behind, allowed are 3,000); 90 s ahead, a task due in 10 s starts at once (9,900 ms early in due_by_clock_ahead, allowed are 5,250). Listed in KNOWN-RED.txt: no process can tell whether its own time of day is right, and the offsets of others to the store's clock, as in accepted jobs, may be the wrong ones as well.

--- a/persimmondrift/tests/set_clocks.rs
+++ b/persimmondrift/tests/set_clocks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::job::{Id, Request, Resources, Schedule, Step};
 use persimmondrift::cell::record::{self, Progress, State};
 use persimmondrift::cell::table::{Table, Write};
 use standin::cell::Cell;
@@ -13,6 +13,10 @@
 const REMOVAL_BOUND: Duration = Duration::from_secs(1);
 /// How far a wrong time of day is from true time, in milliseconds.
 const SKEW_MS: i64 = 90_000;
+/// Time after which a due task must run while there is capacity for it, in milliseconds.
+const MAX_DUE_DELAY_MS: i64 = 3_000;
+/// Time by which a task may start before it is due where clocks are set, in milliseconds.
+const MAX_EARLY_MS: i64 = 5_250;
 
 const JOB: Id = Id(1);
 
@@ -204,3 +208,32 @@
     });
     assert_eq!(started, [Some(normal); 2], "clock ahead, clock behind");
 }
+
+/// Runs a job that is due in 10 s under a planner with the given time of day. Returns how long after its due
+/// time it started, in milliseconds.
+fn start_delay_ms(skew_ms: i64) -> i64 {
+    let mut cell = Cell::new(1);
+    cell.planner_skew_ms = skew_ms;
+    cell.run(Duration::from_secs(2));
+    let first_ms = cell.now.0 / 1_000 + 10_000;
+    let schedule = Some(Schedule { first_ms, every_ms: 1_000, times: 1 });
+    cell.submit(JOB, "normal", "ana", Request { schedule, ..request() });
+    cell.run_until(RETENTION, |cell| cell.starts(JOB) > 0);
+    i64::try_from(cell.now.0 / 1_000).expect("a short time") - first_ms.cast_signed()
+}
+
+/// Guards against a due task that waits beside a free worker, since the planner's clock is behind.
+#[test]
+#[ignore = "fails, see KNOWN-RED.txt"]
+fn due_by_clock_behind() {
+    let delay_ms = start_delay_ms(-SKEW_MS);
+    assert!(delay_ms <= MAX_DUE_DELAY_MS, "{delay_ms} ms");
+}
+
+/// Guards against a task that starts before it is due, since the planner's clock is ahead.
+#[test]
+#[ignore = "fails, see KNOWN-RED.txt"]
+fn due_by_clock_ahead() {
+    let delay_ms = start_delay_ms(SKEW_MS);
+    assert!(delay_ms >= -MAX_EARLY_MS, "{delay_ms} ms");
+}
