Give reserved workers back to a group that has waited beside idle room

A group that needs a whole worker waited for 12 s beside empty workers with 5 % of the capacity in use: E415 with used_percent=5 full=3 reserved=3. The reserve takes the recent peak of urgent work, up to half of the workers, from the empty ones, and treats a cell as idle only while most of its workers are wholly empty. One small task on each of the others was enough for it to take them all.

A group now waits 1.5 s at most while less than half of the capacity is in use, none of its tasks runs and it fits twice over; then neither the reserve nor claims are withheld from it. The same holds for long-running tasks at any load. reserve_is_given_back failed before (the group did not run within 3 s) and passes.

All tests of persimmondrift pass.

--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -21,6 +21,7 @@
 mod displace;
 mod draft;
 mod fold;
+mod idle;
 mod late;
 mod observe;
 mod place;
@@ -257,6 +258,8 @@
     adopted: HashMap<Group, Time>,
     /// Agents on whose workers tasks of a group have failed.
     failed_on: HashMap<Group, Vec<String>>,
+    /// Since when each group has waited beside idle room.
+    idle_since: HashMap<Group, Time>,
     /// Run and name of the newest checkpoint that was reported for each task.
     checkpoints: HashMap<Task, (u32, String)>,
     /// Jobs with a row that the store does not accept. They are about to end.
@@ -285,6 +288,7 @@
             gangs_ordered_at: HashMap::new(),
             adopted: HashMap::new(),
             failed_on: HashMap::new(),
+            idle_since: HashMap::new(),
             checkpoints: HashMap::new(),
             unwritable: BTreeSet::new(),
             last_faults: HashMap::new(),
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -163,6 +163,7 @@
             }
         }
         self.failed_on.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
+        self.idle_since.retain(|group, _| request_of(draft.input.jobs, group.job).is_some());
         self.gangs_ordered_at.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
         self.adopted.retain(|group, _| draft.orders.keys().any(|(_, own)| own == group));
     }
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -125,7 +125,6 @@
     }
 
     /// Places the tasks of a group that fit, and preempts others for the rest if the group may.
-    /// Suspects, and gangs with one, are placed apart.
     fn place_group(
         &mut self,
         draft: &mut Draft<'_>,
@@ -133,17 +132,11 @@
         pending: &PendingGroup<'_>,
         coverage: &HashMap<Id, Coverage>,
     ) {
-        let step = &pending.request.steps[usize::from(pending.group.step)];
         let closed = self.closed(draft, pool, pending);
         let barred = closed.any();
         let may_preempt = reclaim::may_preempt(&pending.rank);
-        let waiting = Waiting::of(draft, pending);
-        if step.gang && waiting.has_suspects() {
-            self.place_gang_apart(draft, pool, pending, &barred);
-        } else {
-            self.place_trusted(draft, pool, pending, &barred, waiting.trusted);
-            self.place_apart(draft, pool, pending, &barred, &waiting);
-        }
+        self.place_on_open(draft, pool, pending, &barred);
+        self.place_overdue(draft, pool, pending, &closed);
         let left = Waiting::of(draft, pending).total();
         self.observe_wait(draft, pool, pending, left, &closed);
         if left == 0 {
@@ -160,6 +153,25 @@
         }
     }
 
+    /// Places the waiting tasks of a group that fit on workers that are not closed. Suspects, and gangs
+    /// with one, are placed apart.
+    pub(super) fn place_on_open(
+        &mut self,
+        draft: &mut Draft<'_>,
+        pool: &mut Pool,
+        pending: &PendingGroup<'_>,
+        closed: &[bool],
+    ) {
+        let step = &pending.request.steps[usize::from(pending.group.step)];
+        let waiting = Waiting::of(draft, pending);
+        if step.gang && waiting.has_suspects() {
+            self.place_gang_apart(draft, pool, pending, closed);
+        } else {
+            self.place_trusted(draft, pool, pending, closed, waiting.trusted);
+            self.place_apart(draft, pool, pending, closed, &waiting);
+        }
+    }
+
     /// Returns the workers that a group is not placed on although it may fit.
     fn closed(&self, draft: &Draft<'_>, pool: &Pool, pending: &PendingGroup<'_>) -> Closed {
         let PendingGroup { group, request, queue, rank } = pending;
--- /dev/null
+++ b/persimmondrift/tests/idle_room.rs
@@ -0,0 +1,51 @@
+//! Groups do not wait beside idle room: a group of which nothing runs, and that fits twice over while less
+//! than half of the capacity is in use, runs within a bound.
+
+use std::time::Duration;
+
+use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::record::State;
+use standin::cell::Cell;
+
+/// Time within which a group must run while there is idle room for it.
+const PLACE_BOUND: Duration = Duration::from_secs(3);
+
+fn step(width: u16, accelerators: u32) -> Step {
+    let need = Resources { millicores: 2_000, mebibytes: 4_096, accelerators };
+    Step { width, need, estimate_ms: 3_000, ..Step::default() }
+}
+
+fn request(steps: Vec<Step>) -> Request {
+    Request { spec: "render".to_owned(), steps, schedule: None }
+}
+
+fn is_running(cell: &Cell, workers: usize, id: Id) -> bool {
+    (0..workers).flat_map(|vm| cell.running(vm)).any(|(task, _)| task.job == id)
+}
+
+/// Submits a job whose tasks run for minutes, and waits until it runs.
+fn submit_long(cell: &mut Cell, id: Id, step: Step) {
+    let long = Step { estimate_ms: 300_000, ..step };
+    cell.submit(id, "normal", "luis", request(vec![long]));
+    cell.set_work_time(id, Duration::from_mins(5));
+    cell.run(Duration::from_millis(500));
+}
+
+fn is_over(cell: &Cell, id: Id) -> bool {
+    cell.state(id).is_some_and(State::is_final)
+}
+
+/// Guards against empty workers that stay reserved for urgent work while hardly anything is in use, since
+/// none of the other workers is wholly empty.
+#[test]
+fn reserve_is_given_back() {
+    let mut cell = Cell::new(6);
+    cell.run(Duration::from_secs(2));
+    submit_long(&mut cell, Id(1), Step { spread: Some(1), ..step(3, 1) });
+    cell.submit(Id(2), "urgent", "ana", request(vec![step(3, 8)]));
+    cell.run(Duration::from_millis(500));
+    cell.submit(Id(3), "low", "ana", request(vec![step(1, 8)]));
+    assert!(cell.run_until(Duration::from_secs(8), |cell| is_over(cell, Id(2))));
+    let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 6, Id(3)));
+    assert!(runs, "{:?}", cell.observations.last());
+}
