Return to distrusted workers for a group that has waited beside idle room

Two groups waited beside empty workers with 34 % and 5 % of the capacity in use.

A group that has waited for 1.5 s beside idle room is now also placed on such workers, after those that are only reserved. A group that is no gang places one task there at first, since the worker may still be broken. A gang or a task may thereby use up its attempts sooner than before on workers that stay broken. failed_group_returns_to_idle_workers and quarantined_workers_are_used failed before (nothing ran within 3 s) and pass; worker_trust.rs, crashing_task.rs and crash_evidence.rs pass unchanged.

--- a/persimmondrift/src/cell/planner/idle.rs
+++ b/persimmondrift/src/cell/planner/idle.rs
@@ -1,7 +1,8 @@
 //! Placement of groups that have waited beside idle room.
 //!
-//! Room is withheld from a group for others, which is of use while the cell is busy. While most of it is
-//! idle, a group waits for a bounded time only, and is then placed wherever it fits.
+//! Room is withheld from a group for others, which is of use while the cell is busy, and workers are
+//! avoided after faults that may be over. While most of the cell is idle, a group waits for a bounded time
+//! only, and is then placed wherever it fits.
 
 use std::time::Duration;
 
@@ -36,7 +37,13 @@
         if now.since(since) < IDLE_PATIENCE {
             return;
         }
-        self.place_on_open(draft, pool, pending, &closed.excluded);
+        let step = &pending.request.steps[usize::from(group.step)];
+        self.place_on_open(draft, pool, pending, &closed.excluded, u32::MAX);
+        if Waiting::of(draft, pending).total() == count {
+            // Other workers may still be broken, so that one task is enough.
+            let limit = if step.gang || step.long_running { u32::MAX } else { 1 };
+            self.place_on_open(draft, pool, pending, &vec![false; pool.slots.len()], limit);
+        }
         if Waiting::of(draft, pending).total() < count {
             // What is left, or ends early, waits as long again.
             self.idle_since.insert(group, now);
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -135,7 +135,7 @@
         let closed = self.closed(draft, pool, pending);
         let barred = closed.any();
         let may_preempt = reclaim::may_preempt(&pending.rank);
-        self.place_on_open(draft, pool, pending, &barred);
+        self.place_on_open(draft, pool, pending, &barred, u32::MAX);
         self.place_overdue(draft, pool, pending, &closed);
         let left = Waiting::of(draft, pending).total();
         self.observe_wait(draft, pool, pending, left, &closed);
@@ -153,17 +153,18 @@
         }
     }
 
-    /// Places the waiting tasks of a group that fit on workers that are not closed. Suspects, and gangs
-    /// with one, are placed apart.
+    /// Places up to `limit` waiting tasks of a group on workers that are not closed, or all of a gang.
+    /// Suspects, and gangs with one, are placed apart.
     pub(super) fn place_on_open(
         &mut self,
         draft: &mut Draft<'_>,
         pool: &mut Pool,
         pending: &PendingGroup<'_>,
         closed: &[bool],
+        limit: u32,
     ) {
         let step = &pending.request.steps[usize::from(pending.group.step)];
-        let waiting = Waiting::of(draft, pending);
+        let waiting = Waiting::of(draft, pending).limited(limit);
         if step.gang && waiting.has_suspects() {
             self.place_gang_apart(draft, pool, pending, closed);
         } else {
--- a/persimmondrift/src/cell/planner/suspect.rs
+++ b/persimmondrift/src/cell/planner/suspect.rs
@@ -42,6 +42,14 @@
         waiting
     }
 
+    /// Returns the numbers for `limit` of the tasks at most, those that are no suspects first.
+    pub fn limited(self, limit: u32) -> Self {
+        let trusted = self.trusted.min(limit);
+        let suspects = self.suspects.min(limit - trusted);
+        let repeated = self.repeated.min(limit - trusted - suspects);
+        Self { trusted, suspects, repeated }
+    }
+
     pub fn has_suspects(&self) -> bool {
         self.suspects + self.repeated > 0
     }
--- a/persimmondrift/tests/idle_room.rs
+++ b/persimmondrift/tests/idle_room.rs
@@ -5,7 +5,7 @@
 
 use persimmondrift::cell::job::{Id, Request, Resources, Step};
 use persimmondrift::cell::record::State;
-use standin::cell::Cell;
+use standin::cell::{Cell, Failure};
 
 /// Time within which a group must run while there is idle room for it.
 const PLACE_BOUND: Duration = Duration::from_secs(3);
@@ -49,3 +49,50 @@
     let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 6, Id(3)));
     assert!(runs, "{:?}", cell.observations.last());
 }
+
+/// Guards against a group that never returns to the workers that it has failed on, although no other has
+/// room for it.
+#[test]
+fn failed_group_returns_to_idle_workers() {
+    let mut cell = Cell::new(4);
+    cell.run(Duration::from_secs(2));
+    submit_long(&mut cell, Id(1), step(2, 8));
+    let idle: Vec<usize> = (0..4).filter(|vm| cell.running(*vm).is_empty()).collect();
+    for vm in &idle {
+        cell.worker(*vm).failure = Failure::Fails;
+    }
+    cell.submit(Id(2), "normal", "ana", request(vec![step(1, 8)]));
+    assert!(cell.run_until(Duration::from_secs(5), |cell| cell.starts(Id(2)) == 2));
+    cell.run(Duration::from_millis(300));
+    for vm in &idle {
+        cell.worker(*vm).failure = Failure::None;
+    }
+    cell.run(Duration::from_secs(1));
+    let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 4, Id(2)));
+    assert!(runs, "{:?} {:?}", cell.state(Id(2)), cell.observations.last());
+}
+
+/// Guards against quarantines that outlast their cause while no other worker has room.
+#[test]
+fn quarantined_workers_are_used() {
+    let mut cell = Cell::new(4);
+    cell.run(Duration::from_secs(2));
+    submit_long(&mut cell, Id(1), Step { spread: Some(1), ..step(2, 1) });
+    let idle: Vec<usize> = (0..4).filter(|vm| cell.running(*vm).is_empty()).collect();
+    for vm in &idle {
+        cell.worker(*vm).failure = Failure::Fails;
+    }
+    for id in 2..12 {
+        cell.submit(Id(id), "normal", "ana", request(vec![step(2, 8)]));
+        cell.run(Duration::from_secs(3));
+    }
+    for vm in &idle {
+        cell.worker(*vm).failure = Failure::None;
+    }
+    for id in 2..12 {
+        cell.cancel(Id(id));
+    }
+    cell.submit(Id(20), "normal", "ana", request(vec![step(1, 8)]));
+    let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 4, Id(20)));
+    assert!(runs, "{:?} {:?}", cell.state(Id(20)), cell.observations.last());
+}
