Split a gang that has waited for a rack beside idle room

A gang that is slower on more than one rack waited for as long as no rack had room for all of it, with 3 % of the capacity in use and six of nine workers empty (E415: full=3 unplaced=6). Whether a rack could hold it is judged by the capacity of its workers, so that one long-running task on each rack, or a worker there that the gang has failed on or that is quarantined, kept it waiting without a bound.

A gang that has waited for 1.5 s beside idle room is now placed on several racks if no rack takes it, on trusted workers first. It then runs slower than it would on one rack, which the load tool and the simulated cell do not model. gang_is_split_beside_idle_racks failed before (the gang did not run within 3 s) and passes; cell_calm.rs and place_invariants.rs pass unchanged.

--- a/persimmondrift/src/cell/planner/idle.rs
+++ b/persimmondrift/src/cell/planner/idle.rs
@@ -1,7 +1,7 @@
 //! Placement of groups that have waited beside idle room.
 //!
 //! Room is withheld from a group for others, which is of use while the cell is busy, and workers are
-//! avoided after faults that may be over. While most of the cell is idle, a group waits for a bounded time
+//! avoided after faults that may be over, and a gang waits for a rack. While most of the cell is idle, a group waits for a bounded time
 //! only, and is then placed wherever it fits.
 
 use std::time::Duration;
@@ -38,11 +38,19 @@
             return;
         }
         let step = &pending.request.steps[usize::from(group.step)];
-        self.place_on_open(draft, pool, pending, &closed.excluded, u32::MAX);
-        if Waiting::of(draft, pending).total() == count {
-            // Other workers may still be broken, so that one task is enough.
-            let limit = if step.gang || step.long_running { u32::MAX } else { 1 };
-            self.place_on_open(draft, pool, pending, &vec![false; pool.slots.len()], limit);
+        // Workers that are closed otherwise may still be broken, so that one task is enough.
+        let limit = if step.gang || step.long_running { u32::MAX } else { 1 };
+        let split = PendingGroup { may_split: true, ..*pending };
+        let open = vec![false; pool.slots.len()];
+        for (pending, closed, limit) in [
+            (pending, &closed.excluded, u32::MAX),
+            (&split, &closed.excluded, u32::MAX),
+            (&split, &open, limit),
+        ] {
+            self.place_on_open(draft, pool, pending, closed, limit);
+            if Waiting::of(draft, pending).total() < count {
+                break;
+            }
         }
         if Waiting::of(draft, pending).total() < count {
             // What is left, or ends early, waits as long again.
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -29,6 +29,8 @@
     pub request: &'a Request,
     pub queue: &'a Queue,
     pub rank: Rank,
+    /// Whether a gang that wants one rack may be placed on several.
+    pub may_split: bool,
 }
 
 /// The workers of one service that may take work in this round.
@@ -175,7 +177,7 @@
 
     /// Returns the workers that a group is not placed on although it may fit.
     fn closed(&self, draft: &Draft<'_>, pool: &Pool, pending: &PendingGroup<'_>) -> Closed {
-        let PendingGroup { group, request, queue, rank } = pending;
+        let PendingGroup { group, request, queue, rank, .. } = pending;
         let step = &request.steps[usize::from(group.step)];
         let excluded = self.excluded(pool, *group, step);
         let empty = pool.slots.iter().filter(|slot| slot.is_empty()).count();
@@ -413,6 +415,8 @@
     let step = &pending.request.steps[usize::from(pending.group.step)];
     let assigned = assigned(draft, pool, pending.group);
     let room = |i: usize| if is_open(i) { pool.slots[i].free } else { Resources::default() };
+    let split = pending.may_split.then(|| Step { one_rack: false, ..step.clone() });
+    let step = split.as_ref().unwrap_or(step);
     pack::place(&pool.slots, Demand { step, count }, room, |i| assigned[i])
 }
 
@@ -435,7 +439,7 @@
         let covered = coverage.get(&id).is_some_and(|coverage| coverage.covered);
         let rank = Rank::new(queue, request, progress, job.accepted_ms, input.wall_ms, covered);
         for group in progress.startable_groups(id, request, input.wall_ms) {
-            all.push(PendingGroup { group, request, queue, rank });
+            all.push(PendingGroup { group, request, queue, rank, may_split: false });
         }
     }
     all.sort_by_key(|pending| (pending.rank.key(), pending.group));
--- a/persimmondrift/tests/idle_room.rs
+++ b/persimmondrift/tests/idle_room.rs
@@ -96,3 +96,18 @@
     let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 4, Id(20)));
     assert!(runs, "{:?} {:?}", cell.state(Id(20)), cell.observations.last());
 }
+
+/// Guards against a gang that waits for one rack although each has a worker that is in use for long.
+#[test]
+fn gang_is_split_beside_idle_racks() {
+    let mut cell = Cell::new(9);
+    cell.run(Duration::from_secs(2));
+    for rack in 0..3 {
+        let label = Some(format!("r{rack}"));
+        submit_long(&mut cell, Id(1 + rack), Step { label, ..step(1, 1) });
+    }
+    let gang = Step { gang: true, one_rack: true, ..step(3, 8) };
+    cell.submit(Id(10), "normal", "ana", request(vec![gang]));
+    let runs = cell.run_until(PLACE_BOUND, |cell| is_running(cell, 9, Id(10)));
+    assert!(runs, "{:?}", cell.observations.last());
+}
