--- a/persimmondrift/src/cell/planner/idle.rs
+++ b/persimmondrift/src/cell/planner/idle.rs
@@ -1,8 +1,8 @@
 //! Placement of groups that have waited beside idle room.
 //!
-//! Room is withheld from a group for others, which is of use while the cell is busy, and workers are
-//! avoided after faults that may be over, and a gang waits for a rack. While most of the cell is idle, a group waits for a bounded time
-//! only, and is then placed wherever it fits.
+//! Room is withheld from a group for others, workers are avoided after faults that may be over, and a gang
+//! waits for a rack. While most of the cell is idle, a group waits for a bounded time only, and is then
+//! placed wherever it fits.
 
 use std::time::Duration;
 
