--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -30,6 +30,8 @@
     pub request: &'a Request,
     pub queue: &'a Queue,
     pub rank: Rank,
+    /// Whether a gang that wants one rack may be placed on several.
+    pub may_split: bool,
 }
 
 /// The workers of one service that may take work in this round.
@@ -126,7 +128,6 @@
     }
 
     /// Places the tasks of a group that fit, and preempts others for the rest if the group may.
-    /// Suspects, and gangs with one, are placed apart.
     fn place_group(
         &mut self,
         draft: &mut Draft<'_>,
@@ -134,17 +135,11 @@
         pending: &PendingGroup<'_>,
         coverage: &HashMap<Id, Coverage>,
     ) {
-        let step = &pending.request.steps[usize::from(pending.group.step)];
         let closed = self.closed(draft, pool, pending);
         let barred = closed.any();
         let may_preempt = reclaim::may_preempt(&pending.rank);
-        let waiting = Waiting::of(draft, pending);
-        if step.gang && waiting.has_suspects() {
-            self.place_gang_apart(draft, pool, pending, &barred);
-        } else {
-            self.place_trusted(draft, pool, pending, &barred, waiting.trusted);
-            self.place_apart(draft, pool, pending, &barred, &waiting);
-        }
+        self.place_on_open(draft, pool, pending, &barred, u32::MAX);
+        self.place_overdue(draft, pool, pending, &closed);
         let left = Waiting::of(draft, pending).total();
         self.observe_wait(draft, pool, pending, left, &closed);
         if left == 0 {
@@ -161,9 +156,29 @@
         }
     }
 
+    /// Places up to `limit` waiting tasks of a group on workers that are not closed, or all of a gang.
+    /// Suspects, and gangs with one, are placed apart.
+    pub(super) fn place_on_open(
+        &mut self,
+        draft: &mut Draft<'_>,
+        pool: &mut Pool,
+        pending: &PendingGroup<'_>,
+        closed: &[bool],
+        limit: u32,
+    ) {
+        let step = &pending.request.steps[usize::from(pending.group.step)];
+        let waiting = Waiting::of(draft, pending).limited(limit);
+        if step.gang && waiting.has_suspects() {
+            self.place_gang_apart(draft, pool, pending, closed);
+        } else {
+            self.place_trusted(draft, pool, pending, closed, waiting.trusted);
+            self.place_apart(draft, pool, pending, closed, &waiting);
+        }
+    }
+
     /// Returns the workers that a group is not placed on although it may fit.
     fn closed(&self, draft: &Draft<'_>, pool: &Pool, pending: &PendingGroup<'_>) -> Closed {
-        let PendingGroup { group, request, queue, rank } = pending;
+        let PendingGroup { group, request, queue, rank, .. } = pending;
         let step = &request.steps[usize::from(group.step)];
         let excluded = self.excluded(pool, *group, step);
         let empty = pool.slots.iter().filter(|slot| slot.is_empty()).count();
@@ -400,6 +415,8 @@
     let step = &pending.request.steps[usize::from(pending.group.step)];
     let assigned = assigned(draft, pool, pending.group);
     let room = |i: usize| if is_open(i) { pool.slots[i].free } else { Resources::default() };
+    let split = pending.may_split.then(|| Step { one_rack: false, ..step.clone() });
+    let step = split.as_ref().unwrap_or(step);
     pack::place(&pool.slots, Demand { step, count }, room, |i| assigned[i])
 }
 
@@ -422,7 +439,7 @@
         let covered = coverage.get(&id).is_some_and(|coverage| coverage.covered);
         let rank = Rank::new(queue, request, progress, input.age_ms(job), covered);
         for group in progress.startable_groups(id, request, input.wall_ms) {
-            all.push(PendingGroup { group, request, queue, rank });
+            all.push(PendingGroup { group, request, queue, rank, may_split: false });
         }
     }
     all.sort_by_key(|pending| (pending.rank.key(), pending.group));
