Let queries wait for their turn instead of refusing them

Cause: a query that memory could not answer took one of eight places, or was refused. Memory never answered that a job does not exist.

A row from a read sent before the removal no longer brings the job back into memory. An id that was cancelled before its job arrived is answered from memory, too. - Eight queries read at once as before; the others wait, until one of these ends or memory can answer them. So one proof serves all that wait. A store that is known to be away refuses at once as before. - A repeated read of the progress does not repeat that of the job.

Tests: state_reads.rs took an entry whose table of jobs may be read after the query arrived, which now rightly answers it.

--- a/persimmondrift/src/cell.rs
+++ b/persimmondrift/src/cell.rs
@@ -14,6 +14,7 @@
 pub mod access;
 pub mod intake;
 pub mod mirror;
+pub mod removed;
 
 pub mod health;
 pub mod pack;
--- a/persimmondrift/src/cell/entry.rs
+++ b/persimmondrift/src/cell/entry.rs
@@ -17,9 +17,10 @@
 use super::job::Id;
 use super::mirror::Jobs;
 use super::planner;
-use super::record::ROLE_KEY;
+use super::record::{self, JOB_PREFIX, ROLE_KEY};
+use super::removed::Removed;
 use super::role::{Reach, Succession};
-use super::table::{CALL_TIMEOUT, Calls, Error, Feed, PAGE_TIMEOUT, Row, Table};
+use super::table::{CALL_TIMEOUT, Calls, Error, Feed, PAGE_TIMEOUT, Row, Snapshot, Table};
 use crate::unit::{Time, Version};
 use crate::{log, warn};
 
@@ -74,6 +75,9 @@
     decode: Box<DecodeCall>,
     state: Mutex<State>,
     changed: Condvar,
+    /// Notified when a query may continue: another one has ended its reads, or the jobs in memory
+    /// were verified.
+    query_turn: Condvar,
     stopping: AtomicBool,
     /// Whether this entry holds the planner's role.
     leading: AtomicBool,
@@ -81,7 +85,7 @@
     min_read_us: AtomicU64,
     /// Number of submissions and cancellations that wait for the store.
     writes: AtomicUsize,
-    /// Number of queries that wait for the store.
+    /// Number of queries that wait for the store, or for memory to be verified.
     reads: AtomicUsize,
 }
 
@@ -94,6 +98,12 @@
     complete_to: Version,
     /// When the last call was sent that verified the jobs in memory.
     verified_at: Time,
+    /// When the last call was sent that showed all jobs accepted before it. Not each call that
+    /// verifies the jobs does: the role may be unchanged while a watch misses changes.
+    complete_at: Time,
+    removed: Removed,
+    /// Number of queries that read the store now.
+    reading: usize,
     access: Access,
     succession: Succession,
     /// Counts changes of jobs and configuration, so that the planner notices them.
@@ -116,6 +126,9 @@
             loaded: false,
             complete_to: Version(0),
             verified_at: Time(0),
+            complete_at: Time(0),
+            removed: Removed::default(),
+            reading: 0,
             access: Access::new(settings.revoke_within),
             succession: Succession::default(),
             changes: 0,
@@ -126,6 +139,7 @@
             decode,
             state: Mutex::new(state),
             changed: Condvar::new(),
+            query_turn: Condvar::new(),
             stopping: AtomicBool::new(false),
             leading: AtomicBool::new(false),
             min_read_us: AtomicU64::new(u64::MAX),
@@ -159,14 +173,60 @@
 }
 
 impl State {
-    /// Returns the state of a job if it can be answered from memory: always if it is final,
-    /// otherwise only if the jobs were verified recently.
-    fn visible_state(&self, id: Id) -> Option<Answer> {
-        let state = self.jobs.state(id)?;
+    /// Returns the answer to a query that arrived at `arrived` if memory holds it.
+    ///
+    /// A final state can no longer change, nor can the absence of a job that was removed after its
+    /// end or whose id was cancelled first. Another state has to be verified recently, and the
+    /// absence of any other id by a call sent after the query arrived.
+    fn known_state(&self, id: Id, arrived: Time) -> Option<Answer> {
         let age = clock::now().since(self.verified_at);
-        let answer = Answer { state: Some(state), source: Source::Memory { age } };
-        (state.is_final() || age <= FRESH_FOR).then_some(answer)
+        let answer = |state| Answer { state, source: Source::Memory { age } };
+        if let Some(state) = self.jobs.state(id) {
+            return (state.is_final() || age <= FRESH_FOR).then_some(answer(Some(state)));
+        }
+        let is_barred = self.jobs.job(id).is_some();
+        let has_row = self.jobs.accepted.version(&record::job_key(id)) > Version(0);
+        let is_absent =
+            !has_row && (self.removed.version(id).is_some() || self.complete_at >= arrived);
+        (is_barred || is_absent).then_some(answer(None))
     }
+
+    /// Applies a row of the table of jobs unless it is known at this or a newer version. Returns
+    /// whether it was applied.
+    fn apply(&mut self, row: &Row) -> bool {
+        let id = parse_job_key(&row.key);
+        let removed = id.and_then(|id| self.removed.version(id));
+        // The mirror may have dropped the tombstone before a slow read brings the row.
+        if removed.is_some_and(|removed| row.version <= removed) {
+            return false;
+        }
+        let is_new = Arc::make_mut(&mut self.jobs).apply(row);
+        if is_new
+            && row.value.is_none()
+            && let Some(id) = id
+        {
+            self.removed.insert(id, row.version);
+        }
+        is_new
+    }
+
+    /// Applies a read of the whole table of jobs.
+    fn reset(&mut self, snapshot: Snapshot) {
+        let version = snapshot.version;
+        let known: Vec<Id> =
+            self.jobs.accepted.iter().filter_map(|(key, _, _)| parse_job_key(key)).collect();
+        Arc::make_mut(&mut self.jobs).reset(snapshot);
+        for id in known {
+            if self.jobs.accepted.version(&record::job_key(id)) == Version(0) {
+                self.removed.insert(id, version);
+            }
+        }
+    }
+}
+
+/// Returns the id in the key of an accepted job; `None` for other keys.
+fn parse_job_key(key: &str) -> Option<Id> {
+    key.strip_prefix(JOB_PREFIX)?.parse().ok()
 }
 
 impl Shared {
@@ -189,8 +249,7 @@
             return;
         }
         let mut state = self.lock();
-        let jobs = Arc::make_mut(&mut state.jobs);
-        let changed = rows.iter().filter(|row| jobs.apply(row)).count();
+        let changed = rows.iter().filter(|row| state.apply(row)).count();
         if changed > 0 {
             state.changes += 1;
             drop(state);
@@ -198,6 +257,12 @@
         }
     }
 
+    /// Wakes all threads that wait for a change, or for the jobs to be verified.
+    fn notify_verified(&self) {
+        self.changed.notify_all();
+        self.query_turn.notify_all();
+    }
+
     fn record_read_time(&self, sent: Time) {
         let took = u64::try_from(clock::now().since(sent).as_micros()).unwrap_or(u64::MAX);
         self.min_read_us.fetch_min(took, Ordering::Relaxed);
@@ -216,15 +281,15 @@
         self.record_read_time(sent);
         let version = snapshot.version;
         let mut state = self.lock();
-        Arc::make_mut(&mut state.jobs).reset(snapshot);
+        state.reset(snapshot);
         state.loaded = true;
         state.complete_to = state.complete_to.max(version);
-        state.verified_at = sent;
+        (state.verified_at, state.complete_at) = (sent, sent);
         state.changes += 1;
         let role = state.jobs.role().0;
         state.succession.observe(sent, clock::now(), role);
         drop(state);
-        self.changed.notify_all();
+        self.notify_verified();
         Ok(version)
     }
 }
@@ -251,11 +316,11 @@
                 let role = state.jobs.role().0;
                 state.succession.observe(now, now, role);
                 // A process that was suspended may read an answer that was given long before.
-                state.verified_at = sent;
+                (state.verified_at, state.complete_at) = (sent, sent);
                 Arc::make_mut(&mut state.jobs).prune(after);
                 state.complete_to = state.complete_to.max(snapshot.version);
                 drop(state);
-                shared.changed.notify_all();
+                shared.notify_verified();
                 if !shared.leading.load(Ordering::Relaxed) {
                     thread::sleep(GATHER_PAUSE);
                 }
@@ -296,7 +361,7 @@
     state.succession.observe(sent, clock::now(), known);
     state.verified_at = sent;
     drop(state);
-    shared.changed.notify_all();
+    shared.notify_verified();
 }
 
 /// Watches the configuration. A watch returns changes at once, but may miss some for a while, so a
--- a/persimmondrift/src/cell/entry/serve.rs
+++ b/persimmondrift/src/cell/entry/serve.rs
@@ -1,18 +1,22 @@
 //! Calls that an entry serves: admission, submission, state and cancellation of jobs.
 
 use std::fmt;
+use std::sync::PoisonError;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use super::{Handle, RETRY_PAUSE, clock};
+use super::{Handle, RETRY_PAUSE, Shared, clock};
 use crate::cell::access::{Queue, Verdict};
 use crate::cell::intake::{self, Acceptance, Cancellation};
 use crate::cell::job::{Id, Request};
 use crate::cell::record::{self, Job, State};
-use crate::cell::table::{Error, Table};
+use crate::cell::table::{Error, Row, Table};
 use crate::unit::Time;
 
+/// Maximum number of queries that read the store at once, so that an entry has few connections to it.
+/// The others wait for one of these to end, or for memory to be verified.
+const MAX_READING: usize = 8;
 /// Shortest time in which a read is repeated. With less, a store that works mostly gives no answer
 /// either, and counts as failed.
 const MIN_REPEAT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -65,6 +69,24 @@
     }
 }
 
+/// What a query that waited does next.
+enum Turn<'a> {
+    /// It is answered from memory.
+    Known(Answer),
+    /// It reads the store.
+    Read(Reading<'a>),
+}
+
+/// Counts a query that reads the store until it is dropped.
+struct Reading<'a>(&'a Shared);
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.0.lock().reading -= 1;
+        self.0.query_turn.notify_one();
+    }
+}
+
 impl Handle {
     /// Returns whether this entry can serve callers now.
     #[must_use]
@@ -117,35 +139,66 @@
         acceptance
     }
 
-    /// Returns the state of a job. The store is asked again while there is time until `deadline`.
+    /// Returns the state of a job, from memory or by reads of the store, which are repeated while there
+    /// is time until `deadline`. A query that finds too many others reading waits until they have
+    /// ended or memory is verified.
     ///
     /// # Errors
     ///
-    /// Returns [`Error`] if the state in memory is not recent and the store cannot be read in time,
-    /// is known to be away, or too many queries wait for it.
+    /// Returns [`Error`] if neither gives the state in time, the store is known to be away, or too
+    /// many queries wait.
     pub fn state(&self, id: Id, deadline: Time) -> Result<Answer, Error> {
-        if let Some(answer) = self.shared.lock().visible_state(id) {
+        let arrived = clock::now();
+        if let Some(answer) = self.shared.lock().known_state(id, arrived) {
             return Ok(answer);
         }
         let limit = self.shared.settings.max_reads;
         let _waiting = Waiting::begin(&self.shared.reads, limit).ok_or(Error::NotDone)?;
+        let mut job = None;
         loop {
-            if (self.shared.store.unavailable)() {
-                return Err(Error::NotDone);
-            }
-            let error = match self.read_state(id, deadline) {
+            let reading = match self.wait_for_turn(id, arrived, deadline)? {
+                Turn::Known(answer) => return Ok(answer),
+                Turn::Read(reading) => reading,
+            };
+            let error = match self.read_state(id, &mut job, deadline) {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
+            drop(reading);
             let left = deadline.since(clock::now());
             if error == Error::Rejected || left < RETRY_PAUSE + MIN_REPEAT_TIMEOUT {
                 return Err(error);
             }
             thread::sleep(RETRY_PAUSE);
-            // A watch may have brought the state meanwhile.
-            if let Some(answer) = self.shared.lock().visible_state(id) {
-                return Ok(answer);
+        }
+    }
+
+    /// Waits until memory holds the answer to a query that arrived at `arrived`, or until the query
+    /// may read the store.
+    fn wait_for_turn(&self, id: Id, arrived: Time, deadline: Time) -> Result<Turn<'_>, Error> {
+        let mut state = self.shared.lock();
+        let mut has_waited = false;
+        loop {
+            if let Some(answer) = state.known_state(id, arrived) {
+                return Ok(Turn::Known(answer));
+            }
+            if (self.shared.store.unavailable)() {
+                return Err(Error::NotDone);
+            }
+            let left = deadline.since(clock::now());
+            let may_read = !has_waited || left >= MIN_REPEAT_TIMEOUT;
+            if may_read && state.reading < MAX_READING {
+                state.reading += 1;
+                return Ok(Turn::Read(Reading(&self.shared)));
+            }
+            if left.is_zero() {
+                return Err(Error::NoAnswer);
             }
+            // Limited, since nothing is notified when the store becomes unavailable.
+            let span = left.min(RETRY_PAUSE);
+            let waited = self.shared.query_turn.wait_timeout(state, span);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            has_waited = true;
         }
     }
 
@@ -162,7 +215,8 @@
         Waiting::begin(&self.shared.writes, self.shared.settings.max_writes)
     }
 
-    fn read_state(&self, id: Id, deadline: Time) -> Result<Answer, Error> {
+    /// Reads the rows of a job, except for that in `job`, where an earlier attempt has left it.
+    fn read_state(&self, id: Id, job: &mut Option<Row>, deadline: Time) -> Result<Answer, Error> {
         let get = |key: &str| {
             let left = deadline.since(clock::now());
             if left.is_zero() {
@@ -170,13 +224,15 @@
             }
             self.shared.store.get_within(Table::Jobs, key, left)
         };
-        let job = get(&record::job_key(id))?;
+        if job.is_none() {
+            *job = get(&record::job_key(id))?;
+        }
         if job.is_none() {
             return Ok(Answer { state: None, source: Source::Store });
         }
         let progress = get(&record::progress_key(id))?;
-        self.shared.apply(job.as_slice());
-        self.shared.apply(progress.as_slice());
+        let rows: Vec<Row> = job.take().into_iter().chain(progress).collect();
+        self.shared.apply(&rows);
         Ok(Answer { state: self.shared.lock().jobs.state(id), source: Source::Store })
     }
 
--- a/persimmondrift/tests/state_reads.rs
+++ b/persimmondrift/tests/state_reads.rs
@@ -48,13 +48,30 @@
     Handle::start(settings, Arc::new(calls(failures)), Box::new(|_: &[u8]| None)).expect("threads")
 }
 
+/// Returns the calls with a count of the reads of the whole table of jobs that have ended.
+fn counted(calls: Calls) -> (Calls, Arc<AtomicUsize>) {
+    let Calls { scan, .. } = calls;
+    let loads = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&loads);
+    let scan = Box::new(move |table, from: &str, to: &str, timeout| {
+        let snapshot = scan(table, from, to, timeout);
+        count.fetch_add(usize::from(table == Table::Jobs && from.is_empty()), Ordering::Relaxed);
+        snapshot
+    });
+    (Calls { scan, ..calls }, loads)
+}
+
 /// Guards against a query that gets no answer because one read of the store failed.
 #[test]
 fn failed_read_is_repeated() {
     let entry = start(entry_settings(), 2);
     let answer = entry.state(UNKNOWN, clock::now() + DEADLINE);
     assert_eq!(answer.map(|answer| answer.state), Ok(None));
-    let entry = start(entry_settings(), usize::MAX);
+    let (calls, loads) = counted(calls(usize::MAX));
+    let entry = Handle::start(entry_settings(), Arc::new(calls), Box::new(|_: &[u8]| None))
+        .expect("threads");
+    // A table of jobs that was read before the query does not show that the job is absent now.
+    assert!(wait_for(|| loads.load(Ordering::Relaxed) > 0), "the jobs were never read");
     let answer = entry.state(UNKNOWN, clock::now() + Duration::from_millis(900));
     assert_eq!(answer.map(|answer| answer.state), Err(Error::NoAnswer), "past the deadline");
 }
@@ -104,13 +121,7 @@
         thread::sleep(Duration::from_millis(10));
         Err(Error::NoAnswer)
     });
-    let (loads, scan) = (Arc::new(AtomicUsize::new(0)), calls.scan);
-    let counted = Arc::clone(&loads);
-    calls.scan = Box::new(move |table, from, to, timeout| {
-        let snapshot = scan(table, from, to, timeout);
-        counted.fetch_add(usize::from(table == Table::Jobs && from.is_empty()), Ordering::Relaxed);
-        snapshot
-    });
+    let (calls, loads) = counted(calls);
     let calls = Arc::new(calls);
     let entry = Handle::start(entry_settings(), Arc::clone(&calls), Box::new(|_: &[u8]| None))
         .expect("threads");
