Keep waiting queries while others still read

Found by hand with 100 queries at a store that takes 300 ms and rejects all commits: 61 got 503 after 1.6 s at most, although reads were answered all the time.

Cause: waiting queries ask every 100 ms whether the store is away. That is so once all calls have failed for 300 ms, which a failed commit between two reads of 300 ms or more already gives for a moment.

Change: a query that waits does not ask while eight others read, since their reads will show it. It asks when it arrives and before it reads.

--- a/persimmondrift/src/cell/entry/serve.rs
+++ b/persimmondrift/src/cell/entry/serve.rs
@@ -182,12 +182,14 @@
             if let Some(answer) = state.known_state(id, arrived) {
                 return Ok(Turn::Known(answer));
             }
-            if (self.shared.store.unavailable)() {
+            // While others read, their reads will show whether the store is away.
+            let is_full = state.reading >= MAX_READING;
+            if !(has_waited && is_full) && (self.shared.store.unavailable)() {
                 return Err(Error::NotDone);
             }
             let left = deadline.since(clock::now());
             let may_read = !has_waited || left >= MIN_REPEAT_TIMEOUT;
-            if may_read && state.reading < MAX_READING {
+            if may_read && !is_full {
                 state.reading += 1;
                 return Ok(Turn::Read(Reading(&self.shared)));
             }
