--- a/persimmondrift/tests/removed_jobs.rs
+++ b/persimmondrift/tests/removed_jobs.rs
@@ -105,6 +105,7 @@
             queue: queue("normal", 1),
             workspace: None,
             accepted_ms: clock::wall_ms(),
+            accepted_at: None,
             cancelled: false,
             request: Some(Request { spec: String::new(), steps, schedule: None }),
         };
