Look queues up by name in one map for each round

Each job, ended ones included, searched the list of queues by name several times a round.

A round now builds a map of the queues once.

--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -32,7 +32,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::access::{Config, Queue};
+use super::access::Config;
 use super::health::Health;
 use super::job::{Group, Id, Request, Task};
 use super::mirror::{Jobs, Mirror};
@@ -350,12 +350,6 @@
     }
 }
 
-/// Returns the queue of a job as configured now, or as it was when the job was accepted if it is
-/// no longer configured.
-fn queue_of<'a>(config: &'a Config, job: &'a Job) -> &'a Queue {
-    config.queue_named(&job.queue.name).unwrap_or(&job.queue)
-}
-
 /// Returns a job and its request; `None` if the job is unknown or was cancelled before it was
 /// accepted.
 fn request_of(jobs: &Jobs, id: Id) -> Option<(&Job, &Request)> {
--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -5,7 +5,7 @@
 use super::draft::Draft;
 use super::fold::stop;
 use super::place::{Coverage, PendingGroup, Pool, assigned};
-use super::{Cause, Claim, Planner, queue_of, request_of};
+use super::{Cause, Claim, Planner, request_of};
 use crate::cell::job::{Group, Id, Resources, Step};
 use crate::cell::pack::{self, Demand, Placement};
 use crate::cell::rank::{Rank, Timeliness};
@@ -255,7 +255,7 @@
     let covered = coverage.get(&group.job).is_some_and(|coverage| coverage.covered);
     // A workspace that asks for more than its guarantee has no claim on others of its priority.
     let claims = coverage.get(&pending.group.job).is_some_and(|own| own.covered && own.whole);
-    let queue = queue_of(input.config, job);
+    let queue = draft.queue_of(job);
     let ranks_lower = if claims {
         queue.priority >= pending.queue.priority
     } else {
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -1,11 +1,12 @@
 //! The working copy of a round: the rows that it started from, overlaid with its changes, which
 //! become the batch that the planner writes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::{Decision, Input, Plan, request_of};
+use crate::cell::access::Queue;
 use crate::cell::job::{Group, Id, Request, Step, Task};
-use crate::cell::record::{self, Order, OrderTask, Phase, Progress, Running, State};
+use crate::cell::record::{self, Job, Order, OrderTask, Phase, Progress, Running, State};
 use crate::cell::table::{Batch, Condition, MAX_BATCH_ENTRIES, Table, Write};
 use crate::unit::Version;
 
@@ -93,6 +94,9 @@
     changed_progress: BTreeSet<Id>,
     /// Jobs whose progress row is removed.
     pub removed_progress: Vec<Id>,
+    /// The configured queues by name. A job looks its queue up several times a round, and a search of
+    /// thousands of queues for each takes longer than the rest of the round.
+    queues: HashMap<&'a str, &'a Queue>,
     /// The result so far; the writes of orders and progress are added by [`Draft::finish`].
     pub plan: Plan,
 }
@@ -112,10 +116,17 @@
             changed_orders: restored.into_iter().collect(),
             changed_progress: BTreeSet::new(),
             removed_progress: Vec::new(),
+            queues: input.config.queues.iter().rev().map(|queue| (&*queue.name, queue)).collect(),
             plan: Plan::default(),
         }
     }
 
+    /// Returns the queue of a job as configured now, or as it was when the job was accepted if it is
+    /// no longer configured.
+    pub fn queue_of(&self, job: &'a Job) -> &'a Queue {
+        self.queues.get(&*job.queue.name).copied().unwrap_or(&job.queue)
+    }
+
     /// Returns whether the round should leave further work to the next one.
     pub fn is_full(&self) -> bool {
         let rows =
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::draft::{Draft, OrderKey};
-use super::{Basis, Cause, Claim, Decision, Fault, Input, Planner, queue_of, request_of};
+use super::{Basis, Cause, Claim, Decision, Fault, Input, Planner, request_of};
 use crate::cell::job::{Group, Id, Task};
 use crate::cell::progress::Failure;
 use crate::cell::record::{
@@ -176,7 +176,7 @@
         if job.cancelled {
             return Some(Cause::Cancelled);
         }
-        let attempts = queue_of(input.config, job).attempts;
+        let attempts = draft.queue_of(job).attempts;
         let progress = draft.progress(group.job, request);
         if progress.state == State::Completed {
             // The remaining members of a gang end by themselves.
@@ -287,7 +287,7 @@
             let Some((job, request)) = request_of(input.jobs, id) else {
                 continue;
             };
-            let attempts = queue_of(input.config, job).attempts;
+            let attempts = draft.queue_of(job).attempts;
             let ordered = draft
                 .orders
                 .iter()
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -7,7 +7,7 @@
 use super::draft::{Draft, OrderKey};
 use super::observe::Unusable;
 use super::suspect::{Waiting, Watch};
-use super::{Decision, Planner, queue_of, request_of};
+use super::{Decision, Planner, request_of};
 use crate::cell::access::Queue;
 use crate::cell::health::Trust;
 use crate::cell::job::{Group, Id, Request, Resources, Step, Task};
@@ -428,7 +428,7 @@
         let Some((job, request)) = request_of(input.jobs, id) else {
             continue;
         };
-        let queue = queue_of(input.config, job);
+        let queue = draft.queue_of(job);
         let progress = draft.progress(id, request);
         if job.cancelled
             || progress.state.is_final()
@@ -472,7 +472,7 @@
             continue;
         };
         let over = job.cancelled || draft.progress(id, request).state.is_final();
-        if !over && queue_of(input.config, job).priority == 0 {
+        if !over && draft.queue_of(job).priority == 0 {
             let (waits, need) = (!running.contains(&id), peak_accelerators(request));
             urgent.push((waits, Reverse(input.age_ms(job)), id, job.workspace.as_deref(), need));
         }
@@ -529,7 +529,7 @@
 /// Returns whether the queue of a group has priority 0.
 fn is_urgent(draft: &Draft<'_>, group: Group) -> bool {
     let job = request_of(draft.input.jobs, group.job).map(|(job, _)| job);
-    job.is_some_and(|job| queue_of(draft.input.config, job).priority == 0)
+    job.is_some_and(|job| draft.queue_of(job).priority == 0)
 }
 
 /// Returns whether a worker runs a task that it has no order for.
