Remove expired jobs in one batch a round, after revocations

Rows of a term are updated one after the other, and no round adds more until all are done. 298 jobs that expired together made 298 commits of 10 to 75 ms, up to 0.7 s each if answers are lost, before the session of a silent agent was revoked; its tasks had nothing running until then.

--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -244,8 +244,8 @@
     /// Rows to write in this order, in one batch or several, on condition that this entry still
     /// holds the planner's role.
     pub writes: Vec<Write>,
-    /// Batches that each write one row on condition of its version, independent of who holds the
-    /// planner's role.
+    /// Batches that write rows on condition of their versions, independent of who holds the planner's
+    /// role. They are committed in this order.
     pub row_updates: Vec<Batch>,
     /// Decisions of the round, logged once `writes` are stored.
     pub decisions: Vec<Decision>,
@@ -337,8 +337,9 @@
         self.apply_late_ends(&mut draft);
         self.apply_losses(&mut draft);
         self.stop_runs(&mut draft);
-        self.conclude(&mut draft);
+        // Before the removal of ended jobs, whose updates would be made first.
         self.expire_agents(&mut draft, read);
+        self.conclude(&mut draft);
         self.assign(&mut draft);
         self.observe_trust(&mut draft);
         draft.finish()
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -197,6 +197,20 @@
         self.plan.row_updates.push(Batch { conditions, writes: vec![Write { table, key, value }] });
     }
 
+    /// Adds a separate batch that removes rows, given as versions and keys, on condition that their
+    /// versions are still these.
+    pub fn add_row_removals(&mut self, table: Table, rows: Vec<(Version, String)>) {
+        if rows.is_empty() {
+            return;
+        }
+        let mut batch = Batch::default();
+        for (version, key) in rows {
+            batch.conditions.push(Condition { table, key: key.clone(), version });
+            batch.writes.push(Write { table, key, value: None });
+        }
+        self.plan.row_updates.push(batch);
+    }
+
     pub fn add_decision(&mut self, decision: Decision) {
         self.plan.decisions.push(decision);
     }
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -11,7 +11,7 @@
     self, Condition as Readiness, End, Ending, Order, PROGRESS_PREFIX, Phase, Running, State,
     Worker,
 };
-use crate::cell::table::Table;
+use crate::cell::table::{MAX_BATCH_ENTRIES, Table};
 use crate::unit::StoreTime;
 
 /// Minimum time without progress after which a task is stopped. Longer than a restart from a
@@ -29,6 +29,9 @@
 const GANG_WAIT_PERCENT: u32 = 60;
 /// Time that a draining worker must have left after the expected end of a task.
 const DRAIN_SLACK_MS: u32 = 500;
+/// Maximum number of ended jobs that a round removes: one batch with a condition for each. Updates of
+/// rows are made one after the other, and revocations must not wait behind many of them.
+const MAX_REMOVALS: usize = MAX_BATCH_ENTRIES / 2;
 /// Expected run time of a task, in percent of its estimate.
 const OVERRUN_PERCENT: u64 = 130;
 
@@ -280,9 +283,10 @@
                 draft.removed_progress.push(id);
             }
         }
+        let mut expired = Vec::new();
         for id in draft.job_ids() {
             if draft.is_full() {
-                return;
+                break;
             }
             let Some((job, request)) = request_of(input.jobs, id) else {
                 continue;
@@ -298,8 +302,7 @@
                 let age = self.time_since_end(&input, id, ended_at);
                 if !ordered && age > self.settings.retention {
                     let key = record::job_key(id);
-                    let version = input.jobs.accepted.version(&key);
-                    draft.add_row_update(Table::Jobs, key, version, None);
+                    expired.push((input.jobs.accepted.version(&key), key));
                 }
                 continue;
             }
@@ -328,6 +331,8 @@
                 draft.progress_mut(id, request).tasks.clear();
             }
         }
+        expired.truncate(MAX_REMOVALS);
+        draft.add_row_removals(Table::Jobs, expired);
         self.unwritable.retain(|id| request_of(input.jobs, *id).is_some());
         self.ended_seen.retain(|id, _| request_of(input.jobs, *id).is_some());
     }
--- a/persimmondrift/tests/planner_rounds.rs
+++ b/persimmondrift/tests/planner_rounds.rs
@@ -9,6 +9,7 @@
 use persimmondrift::cell::record::{
     self, Incarnation, Job, Order, OrderTask, Phase, Progress, State, Worker,
 };
+use persimmondrift::cell::table::{MAX_BATCH_ENTRIES, Table};
 use persimmondrift::unit::{Epoch, Time, Version};
 use standin::cell::queue;
 
@@ -128,6 +129,37 @@
     );
 }
 
+/// Guards against the removal of many expired jobs that holds up the revocation of a silent agent, whose
+/// tasks wait until then.
+#[test]
+fn expired_jobs_delay_no_revocation() {
+    let mut rows = rows();
+    let job = rows.jobs.job(Id(1)).expect("the job").clone();
+    let request = job.request.clone().expect("a request");
+    for id in (2..300).map(Id) {
+        let progress = Progress { state: State::Completed, ..Progress::new(&request) };
+        rows.jobs.accepted.put(&record::job_key(id), Version(1), Some(job.clone()));
+        rows.jobs.progress.put(&record::progress_key(id), Version(2), Some(progress));
+    }
+    let mut planner = planner();
+    let at = |second| Some(Time::from_secs(second));
+    let _ = plan(&mut planner, &rows, 10, at(10));
+    rows.workers.put(AGENT, Version(3), Some(worker(7, false)));
+    for second in 128..=134 {
+        let removals = plan(&mut planner, &rows, second, at(second)).row_updates;
+        assert!(removals.len() <= 1, "{} batches at {second} s", removals.len());
+    }
+    let row_updates = plan(&mut planner, &rows, 135, at(135)).row_updates;
+    let tables: Vec<Table> = row_updates.iter().map(|batch| batch.writes[0].table).collect();
+    assert_eq!(tables, [Table::Workers, Table::Jobs]);
+    let removal = &row_updates[1];
+    assert_eq!(removal.conditions.len(), removal.writes.len());
+    assert!(
+        (20..=MAX_BATCH_ENTRIES).contains(&(2 * removal.writes.len())),
+        "one batch, not one row"
+    );
+}
+
 #[test]
 fn store_outage_does_not_count_as_silence() {
     let mut rows = rows();
