--- a/persimmondrift/tests/removed_jobs.rs
+++ b/persimmondrift/tests/removed_jobs.rs
@@ -10,7 +10,9 @@
 use persimmondrift::cell::intake::{self, Acceptance};
 use persimmondrift::cell::job::{Id, Request, Step};
 use persimmondrift::cell::record::{self, Job};
+use persimmondrift::cell::removed::Removed;
 use persimmondrift::cell::table::{Calls, Error, Snapshot, Table, Write};
+use persimmondrift::unit::Version;
 use standin::cell::{Rows, entry_settings, queue};
 
 const JOB: Id = Id(7);
@@ -207,3 +209,15 @@
     });
     assert_eq!(entry.pending("normal"), 3);
 }
+
+#[test]
+fn oldest_ids_are_dropped() {
+    let mut removed = Removed::default();
+    for id in 1..=100_000 {
+        removed.insert(Id(id), Version(id));
+    }
+    assert_eq!(removed.version(Id(1)), None);
+    assert_eq!(removed.version(Id(100_000)), Some(Version(100_000)));
+    let kept = (1..=100_000).filter(|id| removed.version(Id(*id)).is_some()).count();
+    assert!(kept < 20_000, "{kept} ids are kept");
+}
