Remove the rows of cancelled ids without a job after the retention time

A cancellation of an unknown or expired id writes a row that bars the id. Nothing removed it, so each such call of a caller stayed in the store and in the memory of all entries for good.

Such a row now expires like an ended job, counted since the planner first saw it. barred_ids barred_id_expires failed before ("never removed" within 240 s of virtual time) and passes.

--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -331,10 +331,21 @@
                 draft.progress_mut(id, request).tasks.clear();
             }
         }
+        // An id that was cancelled before its job arrived is barred for as long as an ended job is kept.
+        for (key, version, _) in
+            input.jobs.accepted.iter().filter(|(_, _, job)| job.request.is_none())
+        {
+            let id = key.strip_prefix(record::JOB_PREFIX).and_then(|id| id.parse().ok());
+            if let Some(id) = id
+                && self.time_since_end(&input, id, None) > self.settings.retention
+            {
+                expired.push((version, key.to_owned()));
+            }
+        }
         expired.truncate(MAX_REMOVALS);
         draft.add_row_removals(Table::Jobs, expired);
         self.unwritable.retain(|id| request_of(input.jobs, *id).is_some());
-        self.ended_seen.retain(|id, _| request_of(input.jobs, *id).is_some());
+        self.ended_seen.retain(|id, _| input.jobs.job(*id).is_some());
     }
 
     /// Returns the time for which the state of a job has been final, at least: by the store's clock, or
