Show that the count of pending jobs leaves out those that never began

Cause: the count leaves out each job that was ordered once, whether or not a task of it has started.

The stand-ins can give the queue another priority.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -570,7 +570,7 @@
         self.process = None
         self.starts = 0
 
-    def start(self):
+    def start(self, priority=1):
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env["PERSIMMONDRIFT_SETTINGS"] = self.file
         self.log = open(os.path.join(self.bed.dir, "%s.log" % self.name), "ab")
@@ -613,6 +613,7 @@
         self.noted_done = {}
         self.answers = []
         self.hows = []
+        self.begun = set()
         self.processes = []
         high, low = random.randrange(100, 250), random.randrange(1, 250)
         ip = lambda number: "127.%d.%d.%d" % (high, low, number)
@@ -675,10 +676,10 @@
                json.dumps(seeds), worker, listen, BOUNDS, self.store_address)
         )
 
-    def write_config(self, version=7, max_attempts=4):
+    def write_config(self, version=7, max_attempts=4, priority=1):
         route = {
             "name": "r-1", "host": HOST, "path-prefix": PREFIX, "service": SERVICE,
-            "priority": 1, "max-attempts": max_attempts, "stretch": 3.0,
+            "priority": priority, "max-attempts": max_attempts, "stretch": 3.0,
             "target-latency-ms": 1500,
         }
         config = {
@@ -689,9 +690,9 @@
         self.store.put("op", "config", json.dumps(config).encode())
         self.record.add("the operator writes config %d" % version)
 
-    def start(self):
+    def start(self, priority=1):
         """Starts everything, and waits until a job of one short work unit has completed."""
-        self.write_config()
+        self.write_config(priority=priority)
         for worker in self.workers:
             worker.boot()
         for process in self.processes:
@@ -769,6 +770,7 @@
         with self.lock:
             where = "%s run %d starts on worker %d" % (run.task, run.run, worker.number)
             self.record.add(where)
+            self.begun.add(run.task.split(".")[0])
             others = self.active.setdefault(run.task, {})
             for other, number in others.values():
                 self.violation("TWICE: %s while run %d of it runs on worker %d" % (
@@ -808,7 +810,7 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(case, entries=3, workers=4, limit_s=110):
+def main(case, entries=3, workers=4, limit_s=110, priority=1):
     """Runs a case: a function of the bed that returns whether the rule held, and a text."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     bed = None
@@ -822,7 +824,7 @@
     code = 2
     try:
         bed = Bed(entries, workers)
-        bed.start()
+        bed.start(priority)
         held, text = case(bed)
         code = 0 if held else 1
         bed.record.add(("HELD " if held else "RULE BROKEN ") + text)
