Let a script that fails by itself exit with 2

Cause: an error of the script itself, or a missing module, exited with 1, as a broken rule does.

Change: such an error exits with 2; the commands of the deploy file are read without a TOML library.

Without a program of the deploy file a case exits with 2.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import struct
@@ -19,7 +20,7 @@
 import tempfile
 import threading
 import time
-import tomllib
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -559,8 +560,9 @@
 
     def __init__(self, bed, name, role, settings):
         self.bed, self.name = bed, name
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            words = tomllib.load(file)["roles"][role]["run"].split()
+        with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+            found = re.search(r'\[roles\.%s\][^\[]*?^run = "([^"]+)"' % role, file.read(), re.M)
+        words = found.group(1).split()
         self.words = [os.path.join(ROOT, words[0])] + words[1:]
         if not os.path.exists(self.words[0]):
             raise CannotRun("%s is not built" % words[0])
@@ -833,6 +835,10 @@
         print("could not run: %s" % error)
         if bed:
             bed.record.add("COULD NOT RUN %s" % error)
+    except Exception as error:  # noqa: BLE001 an error of the script says nothing about the rule
+        traceback.print_exc()
+        if bed:
+            bed.record.add("COULD NOT RUN %r" % error)
     finally:
         signal.alarm(0)
         if bed:
