Ask the worker before a heartbeat of another incarnation ends its runs

Callers saw a task run twice at once (TWICE): a heartbeat of another writer reached the agent of a worker that was up, and the worker's tasks were started elsewhere 20 ms later.

Cause: the agent took a heartbeat with a later start time for the next incarnation of its worker, and ended all runs of the present one. Anyone can send a heartbeat. E211 names the runs at that moment, before any poll.

A heartbeat that names another incarnation is now kept until a call at the worker's address shows which one is up; the agent makes that call at once, beside a poll that may be waiting. Only the answer of another incarnation, or the lapse of the lease, ends the runs.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -176,6 +176,9 @@
         let (sequence, capacity) = (heartbeat.sequence, heartbeat.capacity);
         let urgent = state.reconciler.heartbeat(clock::now(), heartbeat);
         log_crash(state.reconciler.take_crash());
+        if state.reconciler.is_identifying() {
+            self.shared.changed.notify_all();
+        }
         if urgent {
             log!(
                 WorkerHeard,
@@ -478,6 +481,7 @@
         let addressee = Shared::addressee(&state);
         drop(state);
         match action {
+            Action::Identify => identify(shared),
             Action::Start { task, run, checkpoint, deadline_ms } => {
                 let spec = shared.specs.get(&shared.store, task.job);
                 // Reading the text may have taken a while.
@@ -522,6 +526,31 @@
     }
 }
 
+/// Asks which incarnation of the worker is up, beside a poll that may still wait for its answer.
+fn identify(shared: &Shared) {
+    let (known, addressee) = {
+        let state = shared.lock();
+        let incarnation = state.reconciler.poll_incarnation();
+        let known = state.reconciler.incarnation().clone();
+        (known, Addressee { incarnation, ..Shared::addressee(&state) })
+    };
+    let poll = Poll { deadline_ms: None, ack_cursor: 0, wait: Duration::ZERO };
+    let sent = clock::now();
+    let listing = (shared.worker.poll)(&addressee, &poll);
+    let mut state = shared.lock();
+    let is_next = state.reconciler.identified(sent, clock::now(), listing.as_ref());
+    log_crash(state.reconciler.take_crash());
+    if let Some(listing) = listing {
+        let started_ms = listing.started_ms;
+        log!(WorkerIdentified, "life={known} answered={started_ms} replaced={is_next}");
+    }
+    if is_next {
+        state.urgent = true;
+        drop(state);
+        shared.changed.notify_all();
+    }
+}
+
 fn log_crash(crash: Option<Crash>) {
     if let Some(Crash { incarnation, next, runs, unsettled }) = crash {
         let names = |runs: &[(Task, u32)]| -> String {
--- a/persimmondrift/src/event.rs
+++ b/persimmondrift/src/event.rs
@@ -55,6 +55,8 @@
     WorkerRefused = 210,
     /// A worker crashed: a new incarnation replaced one that had not left.
     WorkerCrashed = 211,
+    /// A worker has answered which incarnation is up, after a heartbeat had named another one.
+    WorkerIdentified = 212,
     /// A target was chosen for a request.
     Routed = 301,
     /// No target was chosen for a request.
--- /dev/null
+++ b/persimmondrift/tests/end_proof.rs
@@ -0,0 +1,168 @@
+//! What proves that a run on a worker has ended: an answer of the incarnation that has it, an answer of
+//! another incarnation at the worker's address, or the lapse of its lease. No message that others can
+//! send does.
+
+use std::time::Duration;
+
+use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
+use persimmondrift::cell::job::{Group, Id, Resources, Task};
+use persimmondrift::cell::record::{self, Ending, Incarnation, Order, OrderTask};
+use persimmondrift::cell::table::{Row, Snapshot, Table};
+use persimmondrift::unit::{Epoch, Time, Version};
+use standin::cell::MAX_LEASE;
+
+const BEGIN: Time = Time(100_000_000);
+const NEED: Resources = Resources { millicores: 1_000, mebibytes: 1, accelerators: 0 };
+const ID: &str = "i-1";
+const OTHER_ID: &str = "i-2";
+const RUN: u32 = 1;
+/// Start of the worker, in milliseconds since 1970.
+const STARTED_MS: u64 = 1_000;
+
+fn task() -> Task {
+    Group { job: Id(1), occurrence: 0, step: 0 }.task(0)
+}
+
+fn at(millis: u64) -> Time {
+    BEGIN + Duration::from_millis(millis)
+}
+
+fn incarnation(started_ms: u64, id: &str) -> Incarnation {
+    Incarnation { started_ms, id: id.to_owned() }
+}
+
+fn heartbeat(started_ms: u64, id: &str) -> Heartbeat {
+    Heartbeat {
+        incarnation: incarnation(started_ms, id),
+        sequence: 1,
+        clock_ms: 1_000,
+        draining: false,
+        service: "studio".to_owned(),
+        labels: Vec::new(),
+        capacity: NEED.times(4),
+        remaining_ms: 0,
+        cold_ms: 0,
+    }
+}
+
+fn orders() -> Vec<Row> {
+    let order = Order {
+        epoch: Epoch(1),
+        incarnation: incarnation(STARTED_MS, ID),
+        session: 0,
+        need: NEED,
+        tasks: vec![OrderTask { index: 0, run: RUN, checkpoint: String::new(), stop: false }],
+    };
+    let key = record::order_key("vm", task().group());
+    vec![Row {
+        table: Table::Orders,
+        key,
+        version: Version(1),
+        value: Some(record::encode(&order)),
+    }]
+}
+
+fn listing(started_ms: u64, runs: bool) -> Listing {
+    let running = runs.then(|| (task(), RUN, String::new(), 0)).into_iter().collect();
+    Listing { started_ms, clock_ms: 1_000, running, ..Listing::default() }
+}
+
+/// Creates an agent whose worker runs a task, as its listing has shown.
+fn agent() -> Reconciler {
+    let mut agent = Reconciler::new("vm", None, BEGIN, MAX_LEASE);
+    agent.reset_orders(&Snapshot::default());
+    agent.heartbeat(BEGIN, heartbeat(STARTED_MS, ID));
+    agent.apply_orders(&orders());
+    agent.report_stored(BEGIN, MAX_LEASE, Listed::default());
+    agent.apply_listing(BEGIN, BEGIN, &listing(STARTED_MS, false));
+    let call = agent.next_call(at(100));
+    assert!(matches!(call, Some(Action::Start { run: RUN, .. })), "{call:?}");
+    agent.start_answered(at(110), task(), RUN, StartAnswer::Started);
+    agent.apply_listing(at(120), at(121), &listing(STARTED_MS, true));
+    agent
+}
+
+fn endings(agent: &Reconciler, now: Time) -> Vec<Ending> {
+    agent.report(now).ends.iter().map(|end| end.ending).collect()
+}
+
+/// Checks that the run counts as running: the report has no end, and names the incarnation that the run
+/// was ordered for, so that the planner does not write it off.
+fn assert_runs(agent: &Reconciler, now: Time) {
+    let report = agent.report(now);
+    assert_eq!((report.ends, report.incarnation), (Vec::new(), incarnation(STARTED_MS, ID)));
+    assert_eq!(report.running.len(), 1);
+}
+
+/// Guards against a heartbeat of another writer that ends the runs of a worker that is up.
+#[test]
+fn heartbeat_of_another_writer() {
+    for id in [ID, OTHER_ID] {
+        let mut agent = agent();
+        let foreign = Heartbeat {
+            service: "other".to_owned(),
+            clock_ms: 10,
+            ..heartbeat(STARTED_MS + 500, id)
+        };
+        assert!(!agent.heartbeat(at(500), foreign));
+        assert_runs(&agent, at(500));
+        assert_eq!(agent.next_call(at(501)), Some(Action::Identify));
+        // Nothing is renewed or acknowledged before the answer, since another incarnation may be up.
+        assert_eq!((agent.renew_lease(at(502)), agent.ack_cursor(at(502))), (None, 0));
+        assert!(!agent.identified(at(502), at(505), Some(&listing(STARTED_MS, true))));
+        agent.apply_listing(at(510), at(511), &listing(STARTED_MS, true));
+        assert_runs(&agent, at(511));
+        assert!(agent.renew_lease(at(512)).is_some());
+        assert_eq!(agent.next_call(at(513)), None);
+    }
+}
+
+/// Guards against an answer that was requested before the heartbeat and counts as the answer to it.
+#[test]
+fn answer_from_before_the_heartbeat() {
+    let mut agent = agent();
+    agent.heartbeat(at(500), heartbeat(STARTED_MS + 500, OTHER_ID));
+    agent.apply_listing(at(400), at(501), &listing(STARTED_MS, true));
+    assert!(agent.is_identifying());
+    assert_eq!(agent.renew_lease(at(502)), None);
+}
+
+/// The answer of the next incarnation ends the runs of the one before, and its heartbeat is in force at
+/// once.
+#[test]
+fn answer_of_next_incarnation() {
+    let next = STARTED_MS + 500;
+    for by_listing in [false, true] {
+        let mut agent = agent();
+        agent.heartbeat(at(500), heartbeat(next, OTHER_ID));
+        assert_eq!(agent.next_call(at(501)), Some(Action::Identify));
+        assert!(!agent.identified(at(501), at(502), None));
+        assert_eq!(agent.next_call(at(503)), None, "asked again without a pause");
+        assert_eq!(agent.next_call(at(700)), Some(Action::Identify));
+        assert_runs(&agent, at(700));
+        let urgent = if by_listing {
+            agent.apply_listing(at(701), at(702), &listing(next, false))
+        } else {
+            agent.identified(at(701), at(702), Some(&listing(next, false)))
+        };
+        assert!(urgent);
+        assert_eq!(endings(&agent, at(702)), [Ending::CrashedAtStart]);
+        let report = agent.report(at(702));
+        assert_eq!(report.incarnation, incarnation(next, OTHER_ID));
+        assert_eq!(report.capacity, NEED.times(4));
+    }
+}
+
+/// Without any answer the runs end when their lease has lapsed, and no earlier.
+#[test]
+fn lapse_without_an_answer() {
+    let mut agent = agent();
+    assert!(agent.renew_lease(at(400)).is_some());
+    agent.heartbeat(at(500), heartbeat(STARTED_MS + 500, OTHER_ID));
+    agent.poll_failed();
+    let lapsed = BEGIN + MAX_LEASE;
+    assert!(!agent.end_lapsed(lapsed));
+    assert_runs(&agent, lapsed);
+    assert!(agent.end_lapsed(lapsed + Duration::from_millis(1)));
+    assert_eq!(endings(&agent, lapsed), [Ending::Lapsed]);
+}
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -457,7 +457,7 @@
             let heartbeat = heartbeat(&vm.worker, &vm.rack, vm.heartbeats);
             urgent = agent.reconciler.heartbeat(now, heartbeat);
         }
-        let addressee = agent.reconciler.incarnation().id.clone();
+        let addressee = agent.reconciler.poll_incarnation().id;
         let listing = if vm.unheard {
             None
         } else {
@@ -490,6 +490,10 @@
         while let Some(action) = agent.reconciler.next_call(now) {
             let addressee = agent.reconciler.incarnation().id.clone();
             match action {
+                Action::Identify => {
+                    let listing = vm.worker.list_runs("", None, 0);
+                    agent.reconciler.identified(now, now, listing.as_ref());
+                }
                 Action::Start { task, run, checkpoint, deadline_ms, .. } => {
                     let size = size_of(&self.requests, &self.work_ms_by_job, task);
                     let answer =
