Stop the runs of a worker that deregisters instead of writing them off

Callers saw a task run twice at once (TWICE): an agent that had been suspended read the deregistration of its worker, and the worker's task was started elsewhere 20 ms later. The worker had got no answer and worked on.

Cause: a deregistration counted as the end of the worker. It says that the worker is about to end; without an answer it lives on for seconds.

The agent now starts nothing on such a worker, no longer renews its lease, and stops its runs. They end by the worker's lists, by an answer of the next incarnation, or with the lease.

--- a/persimmondrift/src/cell/duty/report.rs
+++ b/persimmondrift/src/cell/duty/report.rs
@@ -53,12 +53,13 @@
         };
         let silent = self.heartbeat_age(now, worker) > MAX_HEARTBEAT_AGE
             || self.last_answer.is_none_or(|last_answer| now.since(last_answer) > SILENT_AFTER);
-        let condition = match (worker.draining, silent) {
+        let condition = match (self.is_leaving(), silent) {
             (true, _) => Condition::Draining,
             (false, true) => Condition::Silent,
             (false, false) => Condition::Ready,
         };
-        let remaining = self.drain_deadline.map_or(Duration::ZERO, |until| until.since(now));
+        let drain_deadline = self.drain_deadline.filter(|_| !self.has_left());
+        let remaining = drain_deadline.map_or(Duration::ZERO, |until| until.since(now));
         Worker {
             incarnation,
             condition,
--- a/persimmondrift/tests/end_proof.rs
+++ b/persimmondrift/tests/end_proof.rs
@@ -6,7 +6,7 @@
 
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
 use persimmondrift::cell::job::{Group, Id, Resources, Task};
-use persimmondrift::cell::record::{self, Ending, Incarnation, Order, OrderTask};
+use persimmondrift::cell::record::{self, Condition, Ending, Incarnation, Order, OrderTask};
 use persimmondrift::cell::table::{Row, Snapshot, Table};
 use persimmondrift::unit::{Epoch, Time, Version};
 use standin::cell::MAX_LEASE;
@@ -166,3 +166,68 @@
     assert!(agent.end_lapsed(lapsed + Duration::from_millis(1)));
     assert_eq!(endings(&agent, lapsed), [Ending::Lapsed]);
 }
+
+/// Guards against a deregistration that ends the runs of a worker: one that got no answer to it works on
+/// for seconds.
+#[test]
+fn deregistration() {
+    let mut agent = agent();
+    assert!(agent.renew_lease(at(400)).is_some());
+    assert!(agent.worker_left(at(500), ID, Some(STARTED_MS)));
+    assert_runs(&agent, at(500));
+    assert_eq!(agent.report(at(500)).condition, Condition::Draining);
+    assert_eq!(agent.renew_lease(at(501)), None);
+    assert_eq!(agent.next_call(at(502)), Some(Action::Stop { task: task(), run: RUN }));
+    agent.stop_call_done(at(510), task(), RUN, true);
+    agent.apply_listing(at(520), at(521), &listing(STARTED_MS, true));
+    assert_runs(&agent, at(521));
+    let finished = vec![(1, task(), RUN, Ending::Stopped, "half".to_owned())];
+    agent.apply_listing(at(800), at(801), &Listing { finished, ..listing(STARTED_MS, false) });
+    assert_eq!(endings(&agent, at(801)), [Ending::Stopped]);
+    assert_eq!(agent.report(at(801)).ends[0].checkpoint, "half");
+}
+
+/// A worker that has deregistered and answers nothing any more: its runs end with the lease that it had.
+#[test]
+fn lapse_after_deregistration() {
+    let mut agent = agent();
+    assert!(agent.renew_lease(at(400)).is_some());
+    assert!(agent.worker_left(at(500), ID, None));
+    // What is granted from now on does not reach the worker.
+    agent.report_stored(at(600), MAX_LEASE, Listed::default());
+    agent.apply_listing(at(610), at(611), &listing(STARTED_MS, true));
+    assert_eq!(agent.renew_lease(at(620)), None);
+    agent.poll_failed();
+    let lapsed = BEGIN + MAX_LEASE;
+    assert!(!agent.end_lapsed(lapsed));
+    assert!(agent.end_lapsed(lapsed + Duration::from_millis(1)));
+    assert_eq!(endings(&agent, lapsed), [Ending::Lapsed]);
+}
+
+/// An order that arrives after the deregistration is returned to the planner.
+#[test]
+fn order_after_deregistration() {
+    let mut agent = Reconciler::new("vm", None, BEGIN, MAX_LEASE);
+    agent.reset_orders(&Snapshot::default());
+    agent.heartbeat(BEGIN, heartbeat(STARTED_MS, ID));
+    agent.report_stored(BEGIN, MAX_LEASE, Listed::default());
+    agent.apply_listing(BEGIN, BEGIN, &listing(STARTED_MS, false));
+    assert!(agent.worker_left(at(100), ID, Some(STARTED_MS)));
+    agent.apply_orders(&orders());
+    assert_eq!(agent.next_call(at(110)), None);
+    assert_eq!(endings(&agent, at(110)), [Ending::Refused]);
+}
+
+/// The next incarnation of a worker that has left gets work, and no crash is recorded.
+#[test]
+fn next_after_deregistration() {
+    let mut agent = agent();
+    assert!(agent.worker_left(at(500), ID, Some(STARTED_MS)));
+    let next = STARTED_MS + 500;
+    agent.heartbeat(at(900), heartbeat(next, OTHER_ID));
+    assert!(agent.identified(at(901), at(902), Some(&listing(next, false))));
+    assert_eq!(endings(&agent, at(902)), [Ending::Lapsed]);
+    assert_eq!(agent.take_crash(), None);
+    assert_eq!(agent.report(at(902)).condition, Condition::Ready);
+    assert!(agent.renew_lease(at(903)).is_some());
+}
