Recover from a late report of the agent's former process

Callers saw a task run twice at once (TWICE): after a planned restart of an agent its running tasks were started elsewhere within 40 ms.

Cause: a report of the former process got no answer from the store, which applied it after the new process had read the row. The new process took a row that another process had written for a revoked session, opened a new one, and the planner wrote off all runs of the old one. Only a revocation proves that the lease has lapsed.

A row of a former process that is not revoked is now recovered from, as at the start of a process. The process has no stored report by then, so it has started nothing. The orders are read before the recovered state is used.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -321,6 +321,14 @@
                 shared.lock().urgent = true;
                 continue;
             }
+            Ok(Ack::FormerReport) => {
+                let Some(recovered) = recover(shared, boot) else {
+                    return;
+                };
+                reporter = recovered;
+                shared.lock().urgent = true;
+                continue;
+            }
             Err(_) => false,
         };
         if granted {
@@ -356,29 +364,36 @@
 fn recover(shared: &Shared, boot: u64) -> Option<Reporter> {
     while !shared.stopping() {
         let read = || -> Result<Reporter, Error> {
-            let row = shared.store.get(Table::Workers, &shared.identity.agent)?;
+            let agent = &shared.identity.agent;
+            let row = shared.store.get(Table::Workers, agent)?;
             let mut role = Jobs::default();
             if let Some(row) = shared.store.get(Table::Jobs, ROLE_KEY)? {
                 role.apply(&row);
             }
-            let mut last: Option<Worker> =
+            let (from, to) = Reconciler::order_range(agent);
+            let orders = (shared.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)?;
+            let last: Option<Worker> =
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
-            if row.is_some() && last.is_none() {
-                let (from, to) = Reconciler::order_range(&shared.identity.agent);
-                let orders = (shared.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)?;
-                last = report::restore(&orders);
-            }
+            let last = last.or_else(|| report::restore(&orders).filter(|_| row.is_some()));
             let version = row.as_ref().map_or(Version(0), |row| row.version);
-            let agent = &shared.identity.agent;
             let reporter = Reporter::new(agent, boot, version, last.as_ref());
-            {
-                let mut state = shared.lock();
-                let max_lease = shared.identity.max_lease;
-                state.reconciler = Reconciler::new(agent, last.as_ref(), clock::now(), max_lease);
-                state.reconciler.begin_session(reporter.session());
-                state.reconciler.raise_token(role.role().1.epoch.max(Epoch(1)));
+            let max_lease = shared.identity.max_lease;
+            let mut reconciler = Reconciler::new(agent, last.as_ref(), clock::now(), max_lease);
+            reconciler.begin_session(reporter.session());
+            reconciler.raise_token(role.role().1.epoch.max(Epoch(1)));
+            // Before it is used: what a listing shows without an order is stopped.
+            reconciler.reset_orders(&orders);
+            let mut state = shared.lock();
+            if let Some((heard, heartbeat)) = state.reconciler.take_heartbeat() {
+                reconciler.heartbeat(heard, heartbeat);
+            }
+            let was_ready = state.ready;
+            state.reconciler = reconciler;
+            drop(state);
+            if was_ready {
+                // The watch may have applied newer orders to the state that is replaced.
+                shared.scan_orders()?;
             }
-            shared.scan_orders()?;
             Ok(reporter)
         };
         match read() {
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -379,6 +379,11 @@
         urgent
     }
 
+    /// Takes the last heartbeat and the time when it arrived, for the state that replaces this one.
+    pub fn take_heartbeat(&mut self) -> Option<(Time, Heartbeat)> {
+        Some((self.heard, self.last_heartbeat.take()?))
+    }
+
     /// Returns whether a heartbeat's incarnation ends no run: none was known before it, or the known one
     /// has answered and only its id is new.
     fn is_first_or_named(&self, next: &Incarnation) -> bool {
--- a/persimmondrift/src/cell/report.rs
+++ b/persimmondrift/src/cell/report.rs
@@ -2,8 +2,8 @@
 //!
 //! A report is a compare-and-set on the agent's row: it is stored only if the row is unchanged
 //! since the agent's last report. Otherwise an earlier report was stored although its answer was
-//! lost, or the planner has revoked the agent's session: then all earlier orders are over, and the
-//! next report opens a new session.
+//! lost, of this process or of a former one, or the planner has revoked the agent's session: then all
+//! earlier orders are over, and the next report opens a new session.
 
 use super::record::{self, Order, Worker};
 use super::table::{Batch, Condition, Outcome, Snapshot, Table, Write};
@@ -22,6 +22,9 @@
     /// An earlier report of this process was stored although its answer was lost; the report has to
     /// be sent again.
     Resend,
+    /// A report of a former process was stored after this process read the row. The state has to be
+    /// recovered from it anew.
+    FormerReport,
 }
 
 /// Returns what is known of an agent's report that cannot be read: the newest of its orders tells the
@@ -95,11 +98,13 @@
                 if is_unreadable {
                     warn!(RowRefused, "key={} version={} malformed", self.agent, self.version);
                 }
-                if is_unreadable
-                    || found.is_some_and(|found| found.boot == self.boot && !found.revoked)
-                {
+                if is_unreadable {
                     return Ack::Resend;
                 }
+                if let Some(found) = found.filter(|found| !found.revoked) {
+                    let is_own = found.boot == self.boot;
+                    return if is_own { Ack::Resend } else { Ack::FormerReport };
+                }
                 self.must_reread = true;
                 self.session = next_session;
                 Ack::SessionEnded
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -20,7 +20,9 @@
 use persimmondrift::cell::role::{Term, WriteResult};
 use persimmondrift::cell::split;
 use persimmondrift::cell::store_clock;
-use persimmondrift::cell::table::{MAX_BATCH_ENTRIES, MAX_ROW_BYTES, Row, Table, Write};
+use persimmondrift::cell::table::{
+    Batch, MAX_BATCH_ENTRIES, MAX_ROW_BYTES, Outcome, Row, Table, Write,
+};
 use persimmondrift::unit::{Epoch, StoreTime, Time, Version};
 
 pub use rows::{MAX_BATCH_BYTES, Rows, check_limits};
@@ -70,6 +72,20 @@
     /// Whether heartbeats are lost and polls stay without an answer, while other calls arrive.
     unheard: bool,
     heartbeats: u64,
+    /// What becomes of the agent's next report.
+    report_fate: ReportFate,
+}
+
+/// What becomes of an agent's report.
+#[derive(Debug, Default)]
+enum ReportFate {
+    /// The store applies and answers it.
+    #[default]
+    Answered,
+    /// The next one reaches the store and gets no answer.
+    HoldsNext,
+    /// One is not applied yet.
+    Held(Batch),
 }
 
 /// A simulated cell.
@@ -185,6 +201,7 @@
             frozen: false,
             unheard: false,
             heartbeats: 0,
+            report_fate: ReportFate::Answered,
         });
         Self {
             now: Time::from_secs(100),
@@ -325,6 +342,28 @@
         self.vms[vm].agent = None;
     }
 
+    /// Lets the next report of an agent reach the store without an answer and without effect so far, and
+    /// ends the agent's process with it.
+    pub fn hold_last_report(&mut self, vm: usize) {
+        self.vms[vm].report_fate = ReportFate::HoldsNext;
+        while !matches!(self.vms[vm].report_fate, ReportFate::Held(_)) {
+            self.step();
+        }
+        self.restart_agent(vm);
+    }
+
+    /// Lets the store apply the report of an agent that was held. Returns whether its condition held.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none was held.
+    pub fn apply_held_report(&mut self, vm: usize) -> bool {
+        let ReportFate::Held(batch) = std::mem::take(&mut self.vms[vm].report_fate) else {
+            panic!("no report of VM {vm} is held");
+        };
+        matches!(self.rows.commit(&batch), Outcome::Applied(_))
+    }
+
     /// Cuts an agent off from the store, or reconnects it.
     pub fn set_store_unreachable(&mut self, vm: usize, unreachable: bool) {
         self.vms[vm].store_unreachable = unreachable;
@@ -477,7 +516,16 @@
             let own: Vec<Row> = self.rows.range(Table::Orders, &from, &to).collect();
             agent.reconciler.apply_orders(&own);
             if urgent || ended || now.since(agent.reported) >= REPORT_INTERVAL {
-                report(&mut self.rows, agent, &vm.name, now);
+                if matches!(vm.report_fate, ReportFate::HoldsNext) {
+                    let batch = agent.reporter.batch(agent.reconciler.report(now));
+                    vm.report_fate = ReportFate::Held(batch);
+                    return;
+                }
+                if report(&mut self.rows, agent, &vm.name, now) == Ack::FormerReport {
+                    vm.agent = Some(start_agent(&self.rows, &vm.name, self.next_boot, now));
+                    self.next_boot += 1;
+                    return;
+                }
             }
         }
         if let Some((until, task, run)) = agent.lost_start {
@@ -648,11 +696,13 @@
     Agent { reconciler, reporter, reported: now, lost_start: None }
 }
 
-fn report(rows: &mut Rows, agent: &mut Agent, name: &str, now: Time) {
+/// Stores an agent's report. Returns what its outcome means.
+fn report(rows: &mut Rows, agent: &mut Agent, name: &str, now: Time) -> Ack {
     let listed = agent.reconciler.listed();
     let batch = agent.reporter.batch(agent.reconciler.report(now));
     let outcome = rows.commit(&batch);
-    match agent.reporter.handle_outcome(&outcome, now.0) {
+    let ack = agent.reporter.handle_outcome(&outcome, now.0);
+    match ack {
         Ack::Granted => agent.reconciler.report_stored(now, grant::span(MAX_LEASE), listed),
         Ack::RereadOrders => {
             let mut orders = rows.snapshot(Table::Orders);
@@ -663,11 +713,12 @@
         }
         Ack::SessionEnded => {
             agent.reconciler.begin_session(agent.reporter.session());
-            return;
+            return ack;
         }
-        Ack::Resend => return,
+        Ack::Resend | Ack::FormerReport => return ack,
     }
     agent.reported = now;
+    ack
 }
 
 fn size_of(
