Count a job as begun when a worker has started a task of it

Cause: the planner set the state Running when it wrote the first order of a job, and nothing set it back. An order may be refused or have no effect, and its agent may be gone; here the jobs were ordered on a VM that was lost.

The state is now set when an agent's report shows a run of the job, or an end that proves a start. Ranks, preemption and cancelling do not read it.

--- a/persimmondrift/src/cell/planner.rs
+++ b/persimmondrift/src/cell/planner.rs
@@ -17,6 +17,7 @@
 //! The memory between rounds holds only hints: when each agent last reported, which workers are
 //! suspected, and when the members of a gang were ordered.
 
+mod begin;
 mod crash;
 mod displace;
 mod draft;
@@ -332,6 +333,7 @@
         self.record_reports(&input, read);
         let mut draft = draft::Draft::new(input);
         unsent::release(&mut draft);
+        begin::record_starts(&mut draft);
         self.record_contexts(&mut draft);
         self.apply_ends(&mut draft);
         self.apply_late_ends(&mut draft);
--- a/persimmondrift/src/cell/planner/draft.rs
+++ b/persimmondrift/src/cell/planner/draft.rs
@@ -6,7 +6,7 @@
 use super::{Decision, Input, Plan, request_of};
 use crate::cell::access::Queue;
 use crate::cell::job::{Group, Id, Request, Step, Task};
-use crate::cell::record::{self, Job, Order, OrderTask, Phase, Progress, Running, State};
+use crate::cell::record::{self, Job, Order, OrderTask, Phase, Progress, Running};
 use crate::cell::table::{Batch, Condition, MAX_BATCH_ENTRIES, Table, Write};
 use crate::unit::Version;
 
@@ -78,9 +78,6 @@
             }
         }
     }
-    if progress.tasks.iter().any(|task| task.phase != Phase::Waiting) {
-        progress.state = State::Running;
-    }
     progress
 }
 
--- a/persimmondrift/src/cell/planner/place.rs
+++ b/persimmondrift/src/cell/planner/place.rs
@@ -15,9 +15,7 @@
 use crate::cell::pressure;
 use crate::cell::rank::Rank;
 use crate::cell::reclaim;
-use crate::cell::record::{
-    Condition as Readiness, Order, OrderTask, Phase, State, TaskProgress, Worker,
-};
+use crate::cell::record::{Condition as Readiness, Order, OrderTask, Phase, TaskProgress, Worker};
 use crate::cell::reserve;
 
 /// Share of a service's capacity in use from which on free room is withheld from groups, in percent.
@@ -292,10 +290,6 @@
             }
             orders.push((pool.slots[slot].agent.clone(), tasks_here));
         }
-        let progress = draft.progress_mut(group.job, request);
-        if progress.state == State::Queued {
-            progress.state = State::Running;
-        }
         if step.gang {
             self.gangs_ordered_at.insert(group, input.now);
         }
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -127,6 +127,13 @@
         groups
     }
 
+    /// Records that a worker has started a task.
+    pub fn record_start(&mut self) {
+        if self.state == State::Queued {
+            self.state = State::Running;
+        }
+    }
+
     /// Applies the end of a run. Only the end of the newest run has an effect, and none if the job is
     /// over, so that its row grows no more.
     pub fn apply_end(&mut self, request: &Request, end: &End) {
@@ -137,13 +144,16 @@
         let Some(step) = request.steps.get(usize::from(group.step)) else {
             return;
         };
-        let tasks = self.group_mut(request, group);
-        let Some(task) = tasks.get_mut(usize::from(end.task.index)) else {
-            return;
-        };
-        if task.run != end.run || task.phase != Phase::Ordered {
+        let index = usize::from(end.task.index);
+        let known = self.group(request, group).get(index);
+        if known.is_none_or(|task| task.run != end.run || task.phase != Phase::Ordered) {
             return;
         }
+        if end.ending.shows_start() {
+            self.record_start();
+        }
+        let tasks = self.group_mut(request, group);
+        let task = &mut tasks[index];
         task.phase = Phase::Waiting;
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
@@ -183,6 +193,7 @@
 
     /// Applies the end as done of a run that was written off.
     pub fn apply_late(&mut self, request: &Request, end: &End) {
+        self.record_start();
         let group = end.task.group();
         let gang = request.steps.get(usize::from(group.step)).is_some_and(|step| step.gang);
         for (index, task) in (0..).zip(self.group_mut(request, group)) {
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -265,6 +265,21 @@
     pub fn is_crash(self) -> bool {
         matches!(self, Self::CrashedAtStart | Self::CrashedUnanswered | Self::Crashed)
     }
+
+    /// Returns whether a worker is known to have started the run.
+    #[must_use]
+    pub fn shows_start(self) -> bool {
+        match self {
+            Self::Done
+            | Self::Failed
+            | Self::Broken
+            | Self::Alone
+            | Self::CrashedAtStart
+            | Self::Crashed => true,
+            // A start without an answer may have had no effect before it was stopped or lapsed.
+            Self::Stopped | Self::Lapsed | Self::Refused | Self::CrashedUnanswered => false,
+        }
+    }
 }
 
 impl fmt::Display for Ending {
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -281,6 +281,12 @@
         self.jobs().state(id)
     }
 
+    /// Returns how many jobs of a queue are counted as waiting for their first start.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        self.jobs().pending(queue)
+    }
+
     /// Returns the tasks that a worker runs now, with their run numbers.
     #[must_use]
     pub fn running(&self, vm: usize) -> Vec<(Task, u32)> {
