Let only a proof end the runs on a worker

Two faults had one cause: a message that anyone may send ended runs. The function that records an end now takes a Proof, which is made from a listing of the incarnation that has the runs, from an answer of another incarnation at the worker's address, from the lapse of the lease, or for a run that was never sent or whose incarnation is over.

--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -4,6 +4,7 @@
 //! answer may be carried out later. Its resources count as used until a listing that was requested
 //! after its stop was answered no longer shows the run.
 
+mod proof;
 mod report;
 mod run;
 
@@ -19,6 +20,7 @@
 use super::table::{Row, Snapshot};
 use crate::unit::{Epoch, Time};
 
+use proof::Proof;
 pub use run::{MAX_CHECKPOINT_BYTES, START_PERIOD};
 use run::{Run, StartEvidence};
 
@@ -353,7 +355,7 @@
                 self.announce(now, heartbeat.incarnation.clone(), Some(heartbeat));
                 return false;
             }
-            self.reset(now, heartbeat.incarnation.clone());
+            self.reset(now, heartbeat.incarnation.clone(), None);
             self.incarnation_since = now;
         }
         if self.is_ahead(now, heartbeat.clock_ms) {
@@ -454,7 +456,8 @@
             .filter(|own| own.incarnation.started_ms == started_ms)
             .and_then(|own| Some((own.since, own.heartbeat?)));
         let id = heard.as_ref().map_or("", |(_, heartbeat)| &heartbeat.incarnation.id).to_owned();
-        self.reset(now, Incarnation { started_ms, id });
+        let proof = Proof::by_replacement(started_ms, known_ms);
+        self.reset(now, Incarnation { started_ms, id }, proof);
         self.incarnation_since = now;
         if let Some((since, heartbeat)) = heard {
             self.heartbeat(since, heartbeat);
@@ -623,24 +626,27 @@
             run.mark_unlisted();
         }
         let before = self.ends.len();
+        let Some(proof) = Proof::by_listing(listing, self.incarnation.started_ms) else {
+            return false;
+        };
         for (number, task, run, ending, checkpoint) in &listing.finished {
             self.listed = self.listed.max(*number);
             if let Some(own) = self.runs.remove(&(*task, *run)) {
-                self.end(*task, *run, &own, *ending, checkpoint);
+                self.end(*task, *run, &own, *ending, checkpoint, proof);
                 if let Some(last) = self.ends.last_mut() {
                     last.number = *number;
                 }
             }
         }
         if listing.finished.len() < MAX_LISTED_ENDS {
-            self.end_unlisted(sent, listing);
+            self.end_unlisted(sent, listing, proof);
         }
         self.sync();
         answerer == Answerer::Next || self.ends.len() != before
     }
 
     /// Ends the runs that a complete listing should show but does not.
-    fn end_unlisted(&mut self, sent: Time, listing: &Listing) {
+    fn end_unlisted(&mut self, sent: Time, listing: &Listing, proof: Proof) {
         let listed =
             |key: &(Task, u32)| listing.running.iter().any(|(task, run, ..)| (*task, *run) == *key);
         let unlisted: Vec<((Task, u32), Ending)> = self
@@ -651,7 +657,7 @@
             .collect();
         for ((task, run), ending) in unlisted {
             if let Some(own) = self.runs.remove(&(task, run)) {
-                self.end(task, run, &own, ending, "");
+                self.end(task, run, &own, ending, "", proof);
             }
         }
     }
@@ -662,14 +668,17 @@
     pub fn end_lapsed(&mut self, now: Time) -> bool {
         let silent =
             self.last_answer.is_none_or(|last_answer| now.since(last_answer) > SILENT_AFTER);
-        if !silent || now <= self.lease_until || self.runs.is_empty() {
+        let Some(proof) = Proof::by_lapse(now, self.lease_until) else {
+            return false;
+        };
+        if !silent || self.runs.is_empty() {
             return false;
         }
         let evidence = self.crash_evidence();
         for ((task, number), run) in std::mem::take(&mut self.runs) {
             let ending = if run.maybe_running() { Ending::Lapsed } else { Ending::Refused };
             let ending = run.leftover_ending().unwrap_or(ending);
-            self.end(task, number, &run, ending, "");
+            self.end(task, number, &run, ending, "", proof);
             if let Some(ending) = evidence.get(&(task, number)).copied() {
                 self.add_loss(Loss { task, run: number, ending, crashed: false });
             }
@@ -777,11 +786,14 @@
         if let Some(own) = self.runs.get_mut(&key) {
             if own.earlier_incarnation().is_some() {
                 let ending = own.late_start_answered(answer, is_pending);
-                let own = ending.and_then(|ending| Some((self.runs.remove(&key)?, ending)));
-                let Some((own, ending)) = own else {
+                let proof = Proof::of_leftover(own);
+                let Some((ending, proof)) = ending.zip(proof) else {
                     return false;
                 };
-                self.end(task, run, &own, ending, "");
+                let Some(own) = self.runs.remove(&key) else {
+                    return false;
+                };
+                self.end(task, run, &own, ending, "", proof);
                 self.sync();
                 return true;
             }
@@ -847,8 +859,9 @@
 
     /// Begins a new incarnation of the worker. Runs that the previous one may have started end as
     /// crashed or lapsed; the planner restarts them from their newest checkpoints. Those that the new
-    /// one may start, since it has or may have the same id, are stopped there before.
-    fn reset(&mut self, now: Time, incarnation: Incarnation) {
+    /// one may start, since it has or may have the same id, are stopped there before. Without a proof that
+    /// the previous one is over, only the id of the known one is new.
+    fn reset(&mut self, now: Time, incarnation: Incarnation, proof: Option<Proof>) {
         let crashed = self.is_crash(&incarnation);
         let evidence = self.crash_evidence();
         if crashed {
@@ -858,7 +871,6 @@
             self.pending = pending.map(|(key, _)| *key).collect();
         }
         let is_new = incarnation.started_ms != self.incarnation.started_ms;
-        let only_named = !is_new && self.incarnation.id.is_empty();
         let may_be = |id: &str| incarnation.id.is_empty() || incarnation.id == id;
         let (mut lost, mut unsettled) = (Vec::new(), Vec::new());
         for ((task, run), mut own) in std::mem::take(&mut self.runs) {
@@ -870,12 +882,20 @@
                         own.begin_incarnation();
                     }
                     self.runs.insert((task, run), own);
-                } else if let Some(ending) = own.leftover_ending() {
-                    self.end(task, run, &own, ending, "");
+                } else if let Some((ending, proof)) =
+                    own.leftover_ending().zip(Proof::of_leftover(&own))
+                {
+                    self.end(task, run, &own, ending, "", proof);
                 }
-            } else if only_named && !own.is_orphan() {
-                self.runs.insert((task, run), own);
-            } else if own.maybe_running() && !own.is_orphan() {
+                continue;
+            }
+            let Some(proof) = proof else {
+                if !own.is_orphan() {
+                    self.runs.insert((task, run), own);
+                }
+                continue;
+            };
+            if own.maybe_running() && !own.is_orphan() {
                 let ending = evidence.get(&(task, run)).copied().filter(|_| crashed);
                 let ending = ending.unwrap_or(Ending::Lapsed);
                 lost.push((task, run));
@@ -886,7 +906,7 @@
                     let left = own.into_leftover(self.incarnation.clone(), ending);
                     self.runs.insert((task, run), left);
                 } else {
-                    self.end(task, run, &own, ending, "");
+                    self.end(task, run, &own, ending, "", proof);
                 }
             }
         }
@@ -1022,9 +1042,10 @@
         for key in refused {
             if let Some(run) = self.runs.remove(&key)
                 && ordered_keys.contains(&key)
+                && let Some(proof) = Proof::unsent(&run)
             {
                 let (task, number) = key;
-                self.end(task, number, &run, Ending::Refused, &run.checkpoint);
+                self.end(task, number, &run, Ending::Refused, &run.checkpoint, proof);
             }
         }
     }
@@ -1049,7 +1070,16 @@
         displaced
     }
 
-    fn end(&mut self, task: Task, number: u32, run: &Run, ending: Ending, checkpoint: &str) {
+    /// Records the end of a run that is proven to be over.
+    fn end(
+        &mut self,
+        task: Task,
+        number: u32,
+        run: &Run,
+        ending: Ending,
+        checkpoint: &str,
+        _: Proof,
+    ) {
         let usable = !checkpoint.is_empty() && checkpoint.len() <= MAX_CHECKPOINT_BYTES;
         let checkpoint = if usable { checkpoint } else { run.newest_checkpoint() }.to_owned();
         let end = End { task, run: number, ending, checkpoint };
