Resume starts as soon as the known incarnation has answered

After a heartbeat of another writer an idle worker got no starts until the poll that was waiting had ended, up to 1 s, although the call that asked for the incarnation was answered at once. That answer now counts.

A deregistration of an incarnation whose id was not known was forgotten when its next heartbeat named it. The test unnamed_worker_leaves fails without the change: the worker is reported as ready.

--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -434,6 +434,8 @@
         };
         if listing.started_ms == self.incarnation.started_ms {
             self.answerer(sent, now, listing.started_ms);
+            // Otherwise nothing would be started before the poll that waits is answered.
+            self.is_confirmed = self.announced.is_none() && self.clock.is_some();
             return false;
         }
         self.apply_listing(sent, now, listing)
@@ -923,7 +925,9 @@
             self.last_id.clone_from(&incarnation.id);
         }
         self.incarnation = incarnation;
-        self.departure = Departure::None;
+        if is_new {
+            self.departure = Departure::None;
+        }
         self.last_heartbeat = None;
         self.drain_deadline = None;
         self.clock = None;
--- a/persimmondrift/tests/end_proof.rs
+++ b/persimmondrift/tests/end_proof.rs
@@ -110,6 +110,7 @@
         // Nothing is renewed or acknowledged before the answer, since another incarnation may be up.
         assert_eq!((agent.renew_lease(at(502)), agent.ack_cursor(at(502))), (None, 0));
         assert!(!agent.identified(at(502), at(505), Some(&listing(STARTED_MS, true))));
+        assert!(agent.renew_lease(at(506)).is_some(), "its answer shows that it is up");
         agent.apply_listing(at(510), at(511), &listing(STARTED_MS, true));
         assert_runs(&agent, at(511));
         assert!(agent.renew_lease(at(512)).is_some());
@@ -231,3 +232,17 @@
     assert_eq!(agent.report(at(902)).condition, Condition::Ready);
     assert!(agent.renew_lease(at(903)).is_some());
 }
+
+/// Guards against a heartbeat that arrives after the deregistration of an incarnation whose id was not
+/// known before, and brings it back into use.
+#[test]
+fn unnamed_worker_leaves() {
+    let mut agent = agent();
+    let next = STARTED_MS + 500;
+    assert!(agent.apply_listing(at(500), at(501), &listing(next, false)));
+    assert!(agent.worker_left(at(510), OTHER_ID, Some(next)));
+    agent.heartbeat(at(520), heartbeat(next, OTHER_ID));
+    agent.apply_listing(at(530), at(531), &listing(next, false));
+    assert_eq!(agent.report(at(531)).condition, Condition::Draining);
+    assert_eq!(agent.renew_lease(at(532)), None);
+}
