--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -360,7 +360,9 @@
     }
 }
 
-/// Reads the report and orders that the previous process left; `None` if the agent is stopped.
+/// Reads the report and orders that the previous process left, and replaces the state by what they tell:
+/// at the start, and again if a late report of that process was found. Returns `None` if the agent is
+/// stopped.
 fn recover(shared: &Shared, boot: u64) -> Option<Reporter> {
     while !shared.stopping() {
         let read = || -> Result<Reporter, Error> {
