Simplify what the review's fixes added

A run in a worker's report was looked up by task and number in five places, one of them new; Worker::run_of serves all. The agent reads its orders and addresses its polls in one place each. apply_end borrows the tasks once, as before, and notes the start at its end. The proof of a listing is made before the listing is applied, handle_outcome has one branch for an unreadable row in place of two, and the wait for a worker that deregisters has one loop condition. The simulated cell recovers from a late report as it starts an agent, in the next step.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -13,7 +13,7 @@
 use super::record::{self, Incarnation, ROLE_KEY, Worker};
 use super::report::{self, Ack, Reporter};
 use super::spec::Specs;
-use super::table::{CALL_TIMEOUT, Calls, Error, PAGE_TIMEOUT, Table};
+use super::table::{CALL_TIMEOUT, Calls, Error, PAGE_TIMEOUT, Snapshot, Table};
 use crate::unit::{Epoch, Time, Version};
 use crate::{log, warn};
 
@@ -205,14 +205,12 @@
         let has_left = state.reconciler.worker_left(now, id, started_ms);
         state.urgent |= has_left;
         self.shared.changed.notify_all();
-        if has_left {
-            loop {
-                let left = LEAVE_WAIT.saturating_sub(clock::now().since(now));
-                if left.is_zero() || !state.reconciler.is_busy() {
-                    break;
-                }
-                state = self.shared.wait(state, left);
+        while has_left && state.reconciler.is_busy() {
+            let left = LEAVE_WAIT.saturating_sub(clock::now().since(now));
+            if left.is_zero() {
+                break;
             }
+            state = self.shared.wait(state, left);
         }
         let is_busy = state.reconciler.is_busy();
         drop(state);
@@ -257,10 +255,23 @@
         }
     }
 
+    /// Returns the addressee of a poll.
+    fn poll_addressee(state: &State) -> Addressee {
+        Addressee {
+            incarnation: state.reconciler.poll_incarnation(),
+            token: state.reconciler.token(),
+        }
+    }
+
     /// Reads all orders of this agent.
-    fn scan_orders(&self) -> Result<Version, Error> {
+    fn read_orders(&self) -> Result<Snapshot, Error> {
         let (from, to) = Reconciler::order_range(&self.identity.agent);
-        let snapshot = (self.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)?;
+        (self.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)
+    }
+
+    /// Reads all orders of this agent, and applies them.
+    fn scan_orders(&self) -> Result<Version, Error> {
+        let snapshot = self.read_orders()?;
         let version = snapshot.version;
         self.lock().reconciler.reset_orders(&snapshot);
         self.changed.notify_all();
@@ -372,8 +383,7 @@
             if let Some(row) = shared.store.get(Table::Jobs, ROLE_KEY)? {
                 role.apply(&row);
             }
-            let (from, to) = Reconciler::order_range(agent);
-            let orders = (shared.store.scan)(Table::Orders, &from, &to, PAGE_TIMEOUT)?;
+            let orders = shared.read_orders()?;
             let last: Option<Worker> =
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
             let last = last.or_else(|| report::restore(&orders).filter(|_| row.is_some()));
@@ -468,8 +478,7 @@
                 ack_cursor: state.reconciler.ack_cursor(sent),
                 wait,
             };
-            let incarnation = state.reconciler.poll_incarnation();
-            (Addressee { incarnation, ..Shared::addressee(&state) }, poll, sent)
+            (Shared::poll_addressee(&state), poll, sent)
         };
         let listing = (shared.worker.poll)(&addressee, &poll);
         let now = clock::now();
@@ -565,9 +574,7 @@
 fn identify(shared: &Shared) {
     let (known, addressee) = {
         let state = shared.lock();
-        let incarnation = state.reconciler.poll_incarnation();
-        let known = state.reconciler.incarnation().clone();
-        (known, Addressee { incarnation, ..Shared::addressee(&state) })
+        (state.reconciler.incarnation().clone(), Shared::poll_addressee(&state))
     };
     let poll = Poll { deadline_ms: None, ack_cursor: 0, wait: Duration::ZERO };
     let sent = clock::now();
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -604,11 +604,14 @@
     /// ended or the worker has a new incarnation.
     pub fn apply_listing(&mut self, sent: Time, now: Time, listing: &Listing) -> bool {
         let answerer = self.answerer(sent, now, listing.started_ms);
-        // What a heartbeat has not named yet runs nothing that was ordered for it.
+        // Nothing was ordered for an incarnation that no heartbeat has named yet.
         let is_unnamed = answerer == Answerer::Next && self.incarnation.id.is_empty();
         if is_unnamed || answerer == Answerer::Earlier {
             return is_unnamed;
         }
+        let Some(proof) = Proof::by_listing(listing, self.incarnation.started_ms) else {
+            return false;
+        };
         self.clock = Some(WorkerClock { reading_ms: listing.clock_ms, read_at: now });
         self.last_answer = Some(now);
         self.is_confirmed = self.announced.is_none();
@@ -628,9 +631,6 @@
             run.mark_unlisted();
         }
         let before = self.ends.len();
-        let Some(proof) = Proof::by_listing(listing, self.incarnation.started_ms) else {
-            return false;
-        };
         for (number, task, run, ending, checkpoint) in &listing.finished {
             self.listed = self.listed.max(*number);
             if let Some(own) = self.runs.remove(&(*task, *run)) {
--- a/persimmondrift/src/cell/planner/begin.rs
+++ b/persimmondrift/src/cell/planner/begin.rs
@@ -35,8 +35,5 @@
 
 /// Returns whether a worker runs a task that an order names.
 fn has_started(worker: &Worker, group: Group, order: &Order) -> bool {
-    worker.running.iter().any(|own| {
-        own.task.group() == group
-            && order.tasks.iter().any(|task| task.index == own.task.index && task.run == own.run)
-    })
+    order.tasks.iter().any(|task| worker.run_of(group.task(task.index), task.run).is_some())
 }
--- a/persimmondrift/src/cell/planner/displace.rs
+++ b/persimmondrift/src/cell/planner/displace.rs
@@ -273,7 +273,7 @@
     let unstopped = order.tasks.iter().filter(|task| !task.stop);
     let victim = |task: &crate::cell::record::OrderTask| {
         let id = group.task(task.index);
-        let running = worker.running.iter().find(|run| run.task == id && run.run == task.run);
+        let running = worker.run_of(id, task.run);
         let percent = running.map_or(0, |running| running.percent);
         let loss = StopCost { rank, step, percent, run: task.run }.loss();
         Victim {
--- a/persimmondrift/src/cell/planner/fold.rs
+++ b/persimmondrift/src/cell/planner/fold.rs
@@ -210,9 +210,8 @@
             let has_reported =
                 self.last_reports.get(agent).is_some_and(|(_, at)| *at >= since + wait / 2);
             let worker = input.workers.get(agent);
-            let runs = worker.map_or(&[][..], |worker| &worker.running);
             let started = order.tasks.iter().all(|task| {
-                runs.iter().any(|run| run.task == own.task(task.index) && run.run == task.run)
+                worker.is_some_and(|worker| worker.run_of(own.task(task.index), task.run).is_some())
             });
             // What has started on the worker of an agent that this planner has not heard is unknown.
             let is_silent = ordered.is_some() && !self.is_responsive(&input, agent);
@@ -250,7 +249,7 @@
                 return Some(Cause::AlreadyDone);
             }
             let task = group.task(index);
-            let running = worker.running.iter().find(|own| own.task == task && own.run == run);
+            let running = worker.run_of(task, run);
             let percent = running.map_or(0, |running| running.percent);
             if worker.condition == Readiness::Draining {
                 let rest = u64::from(step.estimate_ms) * u64::from(100 - percent.min(100)) / 100;
@@ -402,10 +401,10 @@
 fn is_whole_gang_stalled(draft: &Draft<'_>, group: Group, stall_ms: u64) -> bool {
     let mut members = draft.orders.iter().filter(|((_, own), _)| *own == group);
     members.all(|((agent, _), order)| {
-        let runs = draft.input.workers.get(agent).map_or(&[][..], |worker| &worker.running);
+        let worker = draft.input.workers.get(agent);
         order.tasks.iter().all(|task| {
-            let run = |own: &&Running| own.task == group.task(task.index) && own.run == task.run;
-            runs.iter().find(run).is_some_and(|running| is_stalled(running, stall_ms))
+            let running = worker.and_then(|worker| worker.run_of(group.task(task.index), task.run));
+            running.is_some_and(|running| is_stalled(running, stall_ms))
         })
     })
 }
--- a/persimmondrift/src/cell/progress.rs
+++ b/persimmondrift/src/cell/progress.rs
@@ -144,16 +144,13 @@
         let Some(step) = request.steps.get(usize::from(group.step)) else {
             return;
         };
-        let index = usize::from(end.task.index);
-        let known = self.group(request, group).get(index);
-        if known.is_none_or(|task| task.run != end.run || task.phase != Phase::Ordered) {
+        let tasks = self.group_mut(request, group);
+        let Some(task) = tasks.get_mut(usize::from(end.task.index)) else {
+            return;
+        };
+        if task.run != end.run || task.phase != Phase::Ordered {
             return;
         }
-        if end.ending.shows_start() {
-            self.record_start();
-        }
-        let tasks = self.group_mut(request, group);
-        let task = &mut tasks[index];
         task.phase = Phase::Waiting;
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
@@ -177,6 +174,9 @@
             Ending::Failed => task.failures = task.failures.saturating_add(1),
             _ => {}
         }
+        if end.ending.shows_start() {
+            self.record_start();
+        }
     }
 
     /// Returns whether a run that was written off and has ended as done is news: its task is not done,
--- a/persimmondrift/src/cell/record.rs
+++ b/persimmondrift/src/cell/record.rs
@@ -402,6 +402,12 @@
     pub fn rack(&self) -> &str {
         self.labels.get(1).map_or("", String::as_str)
     }
+
+    /// Returns a run of a task as the report shows it; `None` if it is not in progress.
+    #[must_use]
+    pub fn run_of(&self, task: Task, run: u32) -> Option<&Running> {
+        self.running.iter().find(|own| own.task == task && own.run == run)
+    }
 }
 
 /// The planner's role. Every write of the planner is conditional on this row.
--- a/persimmondrift/src/cell/report.rs
+++ b/persimmondrift/src/cell/report.rs
@@ -97,8 +97,6 @@
                 let is_unreadable = row.is_some() && found.is_none();
                 if is_unreadable {
                     warn!(RowRefused, "key={} version={} malformed", self.agent, self.version);
-                }
-                if is_unreadable {
                     return Ack::Resend;
                 }
                 if let Some(found) = found.filter(|found| !found.revoked) {
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -528,8 +528,8 @@
                     return;
                 }
                 if report(&mut self.rows, agent, &vm.name, now) == Ack::FormerReport {
-                    vm.agent = Some(start_agent(&self.rows, &vm.name, self.next_boot, now));
-                    self.next_boot += 1;
+                    // The next step recovers from the row, as at the start of a process.
+                    vm.agent = None;
                     return;
                 }
             }
