--- a/persimmondrift/tests/capacity_changes.rs
+++ b/persimmondrift/tests/capacity_changes.rs
@@ -1,8 +1,11 @@
 //! Workers whose capacity shrinks and grows while they run: no start brings one over it, what runs
 //! continues, and tasks that no longer fit run elsewhere.
 
+mod common;
+
 use std::time::Duration;
 
+use common::begin_next;
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
 use persimmondrift::cell::job::{Group, Id, Request, Resources, Step, Task};
 use persimmondrift::cell::record::{self, Condition, Ending, Incarnation, Order, OrderTask, State};
@@ -353,14 +356,6 @@
     }
 }
 
-/// Applies the first heartbeat of the next incarnation, and its answer to the call that follows.
-fn begin_next(agent: &mut Reconciler, now: Time, heartbeat: Heartbeat) {
-    let started_ms = heartbeat.incarnation.started_ms;
-    agent.heartbeat(now, heartbeat);
-    let answer = Listing { started_ms, clock_ms: 1_000, ..Listing::default() };
-    agent.identified(now, now, Some(&answer));
-}
-
 fn order(job: u64, stop: bool) -> Row {
     let task = OrderTask { index: 0, run: 1, checkpoint: String::new(), stop };
     let incarnation = Incarnation { started_ms: 1, id: "w-1".to_owned() };
--- a/persimmondrift/tests/crash_evidence.rs
+++ b/persimmondrift/tests/crash_evidence.rs
@@ -1,7 +1,10 @@
 //! Evidence of crashes: how agents keep it and how planners count it.
 
+mod common;
+
 use std::time::Duration;
 
+use common::begin_next;
 use persimmondrift::cell::access::Config;
 use persimmondrift::cell::duty::{Heartbeat, Listed, Listing, Reconciler};
 use persimmondrift::cell::job::{Group, Id, Request, Resources, Step, Task};
@@ -198,14 +201,6 @@
     }
 }
 
-/// Applies the first heartbeat of the next incarnation, and its answer to the call that follows.
-fn begin_next(agent: &mut Reconciler, now: Time, heartbeat: Heartbeat) {
-    let started_ms = heartbeat.incarnation.started_ms;
-    agent.heartbeat(now, heartbeat);
-    let answer = Listing { started_ms, clock_ms: 1_000, ..Listing::default() };
-    agent.identified(now, now, Some(&answer));
-}
-
 /// Creates an agent that has orders for one task each of the jobs up to `jobs`.
 fn ordered_agent(jobs: u64) -> Reconciler {
     let row = |job: u64| Row {
--- a/persimmondrift/tests/end_proof.rs
+++ b/persimmondrift/tests/end_proof.rs
@@ -2,77 +2,28 @@
 //! another incarnation at the worker's address, or the lapse of its lease. No message that others can
 //! send does.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{BEGIN, NEED, RUN, at, heartbeat, incarnation, listing, order, task};
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
-use persimmondrift::cell::job::{Group, Id, Resources, Task};
-use persimmondrift::cell::record::{self, Condition, Ending, Incarnation, Order, OrderTask};
-use persimmondrift::cell::table::{Row, Snapshot, Table};
-use persimmondrift::unit::{Epoch, Time, Version};
+use persimmondrift::cell::record::{Condition, Ending};
+use persimmondrift::cell::table::Snapshot;
+use persimmondrift::unit::Time;
 use standin::cell::MAX_LEASE;
 
-const BEGIN: Time = Time(100_000_000);
-const NEED: Resources = Resources { millicores: 1_000, mebibytes: 1, accelerators: 0 };
 const ID: &str = "i-1";
 const OTHER_ID: &str = "i-2";
-const RUN: u32 = 1;
 /// Start of the worker, in milliseconds since 1970.
 const STARTED_MS: u64 = 1_000;
 
-fn task() -> Task {
-    Group { job: Id(1), occurrence: 0, step: 0 }.task(0)
-}
-
-fn at(millis: u64) -> Time {
-    BEGIN + Duration::from_millis(millis)
-}
-
-fn incarnation(started_ms: u64, id: &str) -> Incarnation {
-    Incarnation { started_ms, id: id.to_owned() }
-}
-
-fn heartbeat(started_ms: u64, id: &str) -> Heartbeat {
-    Heartbeat {
-        incarnation: incarnation(started_ms, id),
-        sequence: 1,
-        clock_ms: 1_000,
-        draining: false,
-        service: "studio".to_owned(),
-        labels: Vec::new(),
-        capacity: NEED.times(4),
-        remaining_ms: 0,
-        cold_ms: 0,
-    }
-}
-
-fn orders() -> Vec<Row> {
-    let order = Order {
-        epoch: Epoch(1),
-        incarnation: incarnation(STARTED_MS, ID),
-        session: 0,
-        need: NEED,
-        tasks: vec![OrderTask { index: 0, run: RUN, checkpoint: String::new(), stop: false }],
-    };
-    let key = record::order_key("vm", task().group());
-    vec![Row {
-        table: Table::Orders,
-        key,
-        version: Version(1),
-        value: Some(record::encode(&order)),
-    }]
-}
-
-fn listing(started_ms: u64, runs: bool) -> Listing {
-    let running = runs.then(|| (task(), RUN, String::new(), 0)).into_iter().collect();
-    Listing { started_ms, clock_ms: 1_000, running, ..Listing::default() }
-}
-
 /// Creates an agent whose worker runs a task, as its listing has shown.
 fn agent() -> Reconciler {
     let mut agent = Reconciler::new("vm", None, BEGIN, MAX_LEASE);
     agent.reset_orders(&Snapshot::default());
     agent.heartbeat(BEGIN, heartbeat(STARTED_MS, ID));
-    agent.apply_orders(&orders());
+    agent.apply_orders(&[order(1, incarnation(STARTED_MS, ID), false)]);
     agent.report_stored(BEGIN, MAX_LEASE, Listed::default());
     agent.apply_listing(BEGIN, BEGIN, &listing(STARTED_MS, false));
     let call = agent.next_call(at(100));
@@ -214,7 +165,7 @@
     agent.report_stored(BEGIN, MAX_LEASE, Listed::default());
     agent.apply_listing(BEGIN, BEGIN, &listing(STARTED_MS, false));
     assert!(agent.worker_left(at(100), ID, Some(STARTED_MS)));
-    agent.apply_orders(&orders());
+    agent.apply_orders(&[order(1, incarnation(STARTED_MS, ID), false)]);
     assert_eq!(agent.next_call(at(110)), None);
     assert_eq!(endings(&agent, at(110)), [Ending::Refused]);
 }
--- a/persimmondrift/tests/incarnation_races.rs
+++ b/persimmondrift/tests/incarnation_races.rs
@@ -1,58 +1,30 @@
 //! Answers, heartbeats and leases of a worker that do not belong to the incarnation that is up.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{BEGIN, NEED, RUN, at, order, task};
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
-use persimmondrift::cell::job::{Group, Id, Resources, Task};
-use persimmondrift::cell::record::{self, Condition, Ending, Incarnation, Order, OrderTask};
-use persimmondrift::cell::table::{Row, Snapshot, Table};
-use persimmondrift::unit::{Epoch, Time, Version};
+use persimmondrift::cell::record::{Condition, Ending, Incarnation};
+use persimmondrift::cell::table::{Row, Snapshot};
 use standin::cell::{Failure, MAX_LEASE, Size, Target};
 
-const BEGIN: Time = Time(100_000_000);
-const NEED: Resources = Resources { millicores: 1_000, mebibytes: 1, accelerators: 0 };
 const ID: &str = "i-1-1000";
-const RUN: u32 = 1;
 /// Start of the first incarnation, in milliseconds since 1970.
 const STARTED_MS: u64 = 1_000;
 
-fn task() -> Task {
-    Group { job: Id(1), occurrence: 0, step: 0 }.task(0)
-}
-
-fn at(millis: u64) -> Time {
-    BEGIN + Duration::from_millis(millis)
-}
-
 fn incarnation(started_ms: u64) -> Incarnation {
-    Incarnation { started_ms, id: ID.to_owned() }
+    common::incarnation(started_ms, ID)
 }
 
 fn heartbeat(started_ms: u64, sequence: u64) -> Heartbeat {
-    Heartbeat {
-        incarnation: incarnation(started_ms),
-        sequence,
-        clock_ms: 1_000 + sequence,
-        draining: false,
-        service: "studio".to_owned(),
-        labels: Vec::new(),
-        capacity: NEED.times(4),
-        remaining_ms: 0,
-        cold_ms: 0,
-    }
+    let clock_ms = 1_000 + sequence;
+    Heartbeat { sequence, clock_ms, ..common::heartbeat(started_ms, ID) }
 }
 
 fn orders(stop: bool) -> Vec<Row> {
-    let order = Order {
-        epoch: Epoch(1),
-        incarnation: incarnation(STARTED_MS),
-        session: 0,
-        need: NEED,
-        tasks: vec![OrderTask { index: 0, run: RUN, checkpoint: String::new(), stop }],
-    };
-    let key = record::order_key("vm", task().group());
-    let version = Version(if stop { 2 } else { 1 });
-    vec![Row { table: Table::Orders, key, version, value: Some(record::encode(&order)) }]
+    vec![order(if stop { 2 } else { 1 }, incarnation(STARTED_MS), stop)]
 }
 
 fn listing(started_ms: u64, clock_ms: u64) -> Listing {
--- a/persimmondrift/tests/late_report.rs
+++ b/persimmondrift/tests/late_report.rs
@@ -28,11 +28,15 @@
     cell
 }
 
-/// Checks that the job completes, and that each of its tasks was started once.
-fn assert_runs_once(mut cell: Cell) {
+fn assert_completes(cell: &mut Cell, within: Duration) {
     let completed = |cell: &Cell| cell.state(Id(1)) == Some(State::Completed);
-    assert!(cell.run_until(Duration::from_secs(30), completed));
+    assert!(cell.run_until(within, completed));
     assert!(cell.violations.is_empty(), "{:?}", cell.violations);
+}
+
+/// Checks that the job completes, and that each of its tasks was started once.
+fn assert_runs_once(mut cell: Cell) {
+    assert_completes(&mut cell, Duration::from_secs(30));
     assert_eq!(cell.starts(Id(1)), 9);
     let written_off = |decision: &&Decision| matches!(decision, Decision::Ended { basis, .. } if *basis != Basis::Listed);
     assert_eq!(cell.decisions.iter().find(written_off), None);
@@ -93,8 +97,6 @@
     cell.run(Duration::from_secs(7));
     cell.restart_agent(0);
     cell.set_store_unreachable(0, false);
-    let completed = |cell: &Cell| cell.state(Id(1)) == Some(State::Completed);
-    assert!(cell.run_until(Duration::from_secs(40), completed));
-    assert!(cell.violations.is_empty(), "{:?}", cell.violations);
+    assert_completes(&mut cell, Duration::from_secs(40));
     assert!(cell.decisions.iter().any(|seen| matches!(seen, Decision::Revoked { .. })));
 }
--- a/persimmondrift/tests/same_id_restart.rs
+++ b/persimmondrift/tests/same_id_restart.rs
@@ -1,68 +1,24 @@
 //! Workers that restart under the id that they had. The new incarnation takes calls that were meant for
 //! the one before, so a run is over only when no start that was sent can still begin it.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{BEGIN, RUN, at, begin_next, heartbeat, incarnation, listing, order, task};
 use fastrand::Rng;
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
-use persimmondrift::cell::job::{Group, Id, Request, Resources, Step, Task};
-use persimmondrift::cell::record::{
-    self, End, Ending, Incarnation, Order, OrderTask, Running, State, Worker,
-};
-use persimmondrift::cell::table::{Row, Snapshot, Table};
-use persimmondrift::unit::{Epoch, Time, Version};
+use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::record::{self, End, Ending, Running, State, Worker};
+use persimmondrift::cell::table::Snapshot;
+use persimmondrift::unit::Time;
 use standin::cell::{Cell, Failure, MAX_LEASE};
 
-const BEGIN: Time = Time(100_000_000);
-const NEED: Resources = Resources { millicores: 1_000, mebibytes: 1, accelerators: 0 };
 const ID: &str = "i-1";
 const OTHER_ID: &str = "i-2";
-const RUN: u32 = 1;
-
-fn task() -> Task {
-    Group { job: Id(1), occurrence: 0, step: 0 }.task(0)
-}
-
-fn at(millis: u64) -> Time {
-    BEGIN + Duration::from_millis(millis)
-}
-
-fn incarnation(started_ms: u64, id: &str) -> Incarnation {
-    Incarnation { started_ms, id: id.to_owned() }
-}
-
-fn heartbeat(started_ms: u64, id: &str) -> Heartbeat {
-    Heartbeat {
-        incarnation: incarnation(started_ms, id),
-        sequence: 1,
-        clock_ms: 1_000,
-        draining: false,
-        service: "studio".to_owned(),
-        labels: Vec::new(),
-        capacity: NEED.times(4),
-        remaining_ms: 0,
-        cold_ms: 0,
-    }
-}
 
 fn orders() -> Snapshot {
-    let order = Order {
-        epoch: Epoch(1),
-        incarnation: incarnation(1, ID),
-        session: 0,
-        need: NEED,
-        tasks: vec![OrderTask { index: 0, run: RUN, checkpoint: String::new(), stop: false }],
-    };
-    let key = record::order_key("vm", task().group());
-    let value = Some(record::encode(&order));
-    let rows = vec![Row { table: Table::Orders, key, version: Version(1), value }];
-    Snapshot { rows, ..Snapshot::default() }
-}
-
-/// Returns the listing of an incarnation that runs the task or not.
-fn listing(started_ms: u64, runs: bool) -> Listing {
-    let running = runs.then(|| (task(), RUN, String::new(), 0)).into_iter().collect();
-    Listing { started_ms, clock_ms: 1_000, running, ..Listing::default() }
+    Snapshot { rows: vec![order(1, incarnation(1, ID), false)], ..Snapshot::default() }
 }
 
 fn listed_end(started_ms: u64, ending: Ending) -> Listing {
@@ -82,13 +38,6 @@
     agent
 }
 
-/// Applies the first heartbeat of the next incarnation, and its answer to the call that follows.
-fn begin_next(agent: &mut Reconciler, now: Time, heartbeat: Heartbeat) {
-    let started_ms = heartbeat.incarnation.started_ms;
-    agent.heartbeat(now, heartbeat);
-    agent.identified(now, now, Some(&listing(started_ms, false)));
-}
-
 fn send_start(agent: &mut Reconciler, now: Time) {
     let call = agent.next_call(now);
     assert!(matches!(call, Some(Action::Start { run: RUN, .. })), "{call:?}");
--- a/persimmondrift/tests/unseen_crashes.rs
+++ b/persimmondrift/tests/unseen_crashes.rs
@@ -1,8 +1,11 @@
 //! Crashes that no stored report had when the planner wrote off their runs: the agent reports each as
 //! a loss.
 
+mod common;
+
 use std::time::Duration;
 
+use common::begin_next;
 use persimmondrift::cell::duty::{Heartbeat, Listing, Reconciler};
 use persimmondrift::cell::job::{Group, Id, Resources, Task};
 use persimmondrift::cell::record::{self, Ending, Incarnation, Order, OrderTask, Worker};
@@ -53,14 +56,6 @@
     Listing { started_ms: 1, clock_ms: 1_000, running, ..Listing::default() }
 }
 
-/// Applies the first heartbeat of the next incarnation, and its answer to the call that follows.
-fn begin_next(agent: &mut Reconciler, now: Time, heartbeat: Heartbeat) {
-    let started_ms = heartbeat.incarnation.started_ms;
-    agent.heartbeat(now, heartbeat);
-    let answer = Listing { started_ms, clock_ms: 1_000, ..Listing::default() };
-    agent.identified(now, now, Some(&answer));
-}
-
 /// Creates an agent with orders for jobs 1 to `jobs`, each with one task.
 fn agent(jobs: u64) -> Reconciler {
     let mut agent = Reconciler::new("vm", None, BEGIN, MAX_LEASE);
