--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -29,6 +29,8 @@
 SERVICE = "huvo11a"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+MAX_HOLD_S = 12
+ROW_BYTES = 65_536
 BOUNDS = """hold-max-ms = 6000
 stop-timeout-ms = 400
 gang-timeout-ms = 3000
@@ -156,6 +158,8 @@
         entries = expected + call.get("writes", []) + call.get("remove", [])
         if len(entries) > 100 or len({row.get("part", "") for row in entries}) > 1:
             return 400, b"{}"
+        if any(len(base64.b64decode(row["value"])) > ROW_BYTES for row in call.get("writes", [])):
+            return 400, b"{}"
         if any(row["table"] in ("op", "servers") for row in call.get("writes", [])):
             return 403, b"{}"
         if any(current(name(row)) != row["ver"] for row in expected):
@@ -197,7 +201,8 @@
 
 class Proxy:
     """Forwards calls to a worker. `rule` gets path and body of a call, and may return the seconds for
-    which the call is held: its caller gets no answer, and the worker gets the call that much later."""
+    which the call is held, or an event that ends the hold: its caller gets no answer, and the worker
+    gets the call that much later."""
 
     def __init__(self, bed, address, target):
         self.bed, self.target, self.rule = bed, target, None
@@ -223,11 +228,16 @@
             except (OSError, http.client.HTTPException):
                 return None
         call = json.loads(body)
-        self.bed.note("held", path=path, call=call, for_s=held)
-        time.sleep(held)
+        begin = time.monotonic()
+        self.bed.note("held", path=path, call=call)
+        if isinstance(held, threading.Event):
+            held.wait(MAX_HOLD_S)
+        else:
+            time.sleep(held)
+        late_s = round(time.monotonic() - begin, 3)
         try:
             status, text = self.forward(path, headers, body, 5)
-            self.bed.note("delivered late", path=path, call=call, status=status, answer=text.decode())
+            self.bed.note("delivered late", late_s=late_s, path=path, call=call, status=status, answer=text.decode())
         except (OSError, http.client.HTTPException) as error:
             self.bed.note("not delivered", path=path, call=call, error=str(error))
         return None
@@ -314,13 +324,21 @@
         options = {
             "address": worker["app"], "control": worker["control"], "id": worker["id"],
             "service": SERVICE, "rack": worker["rack"], "events": self.events_file,
-            "name": worker["name"],
+            "name": worker["name"], "drain": self.drain_file(worker),
         }
         self.children[worker["name"]] = subprocess.Popen(
             [sys.executable, os.path.join(LIB, "worker.py"), json.dumps(options)],
             stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
         self.note("worker started", name=worker["name"], id=worker["id"])
 
+    def drain_file(self, worker):
+        return os.path.join(self.dir, worker["name"] + ".drain")
+
+    def drain(self, worker):
+        """Lets a worker say with its next heartbeat that it drains."""
+        self.note("drain", name=worker["name"])
+        open(self.drain_file(worker), "w").close()
+
     def signal(self, name, number):
         self.note("signal", name=name, signal=signal.Signals(number).name)
         self.children[name].send_signal(number)
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -1,8 +1,11 @@
 """Stand-in of a worker, one process per lifetime.
 
-Arguments: a JSON object with `address`, `control`, `id`, `service`, `rack`, `events` (file to which
-events are appended), and optional `modes`. The work of a task is read from its `spec`, a JSON object:
-`ms` is the run time, and `fails` lists the run numbers that end `failed`.
+Argument: a JSON object with `address`, `control`, `id`, `service`, `rack`, `name`, `drain` and `events`,
+the file to which events are appended. The work of a task is read from its `spec`, a JSON object:
+`ms` is the run time, `fails` lists the run numbers that end `failed`, and `checkpoint` is the size of the
+task's checkpoints in bytes if it has any.
+
+A file named by `drain`, once it exists, makes the worker drain.
 
 The worker follows PROTOCOL.md, "Running work units": leases on its own clock, epoch numbers, ends that
 are kept until they are acknowledged, refusals `fence`, `old` and `late`, and 421 for another id. It does
@@ -21,6 +24,7 @@
 HOLD_MAX_MS = 6_000
 HEARTBEAT_S = 1.5
 STOP_MS = 100
+CHECKPOINT_MS = 500
 TICK_S = 0.01
 MAX_ENDS = 500
 
@@ -53,11 +57,19 @@
     def end(self, task, how):
         run = self.running.pop(task)
         self.ends += 1
-        self.finished.append([self.ends, task, run["run"], how, ""])
+        self.finished.append([self.ends, task, run["run"], how, self.checkpoint(run, how == "stopped")])
         self.highest[task] = max(self.highest.get(task, 0), run["run"])
         self.note("end", task=task, run=run["run"], how=how, number=self.ends)
         self.lock.notify_all()
 
+    def checkpoint(self, run, at_stop=False):
+        """Returns the newest checkpoint of a run: the work done so far, in a text of the asked size."""
+        if not run["size"]:
+            return ""
+        done = self.clock_ms() - run["started"] + run["resumed"]
+        done = done if at_stop else done - done % CHECKPOINT_MS
+        return f"{done:016x}".ljust(run["size"], "0")
+
     def advance(self):
         now = self.clock_ms()
         if self.has_lease and now >= self.lease_ms:
@@ -87,10 +99,13 @@
             return 409, "old"
         work = json.loads(body["spec"])
         now = self.clock_ms()
+        resumed = int(body.get("checkpoint", "")[:16] or "0", 16)
         self.running[task] = {
             "run": run,
+            "size": work.get("checkpoint", 0),
+            "resumed": resumed,
             "started": now,
-            "done_at": now + work["ms"],
+            "done_at": now + max(0, work["ms"] - resumed),
             "how": "failed" if run in work.get("fails", []) else "done",
             "stop_at": None,
         }
@@ -122,7 +137,7 @@
         running = []
         for task, run in self.running.items():
             whole = max(run["done_at"] - run["started"], 1)
-            running.append([task, run["run"], "", min(99, (now - run["started"]) * 100 // whole), 0])
+            running.append([task, run["run"], self.checkpoint(run), min(99, (now - run["started"]) * 100 // whole), 0])
         return {"running": running, "finished": self.finished[:MAX_ENDS], "born": self.born}
 
     def call(self, path, headers, body):
@@ -149,6 +164,7 @@
 
     def beat(self):
         self.sequence += 1
+        self.draining = os.path.exists(self.options["drain"])
         body = {
             "service": self.options["service"], "address": self.options["address"], "zone": "a",
             "version": "v1", "slots": 8, "state": "draining" if self.draining else "ready",
