Add a case of a worker that is ignored after its clock was set back

Cause: lifetimes of a worker are ordered by the time of day of their start, so one that starts after the clock was set back counts as an earlier one.

--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -320,16 +320,17 @@
             [program], env=env, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.note("process started", name=name)
 
-    def start_worker(self, worker):
+    def start_worker(self, worker, skew_ms=0):
         options = {
             "address": worker["app"], "control": worker["control"], "id": worker["id"],
             "service": SERVICE, "rack": worker["rack"], "events": self.events_file,
             "name": worker["name"], "drain": self.drain_file(worker),
+            "skew_ms": skew_ms,
         }
         self.children[worker["name"]] = subprocess.Popen(
             [sys.executable, os.path.join(LIB, "worker.py"), json.dumps(options)],
             stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
-        self.note("worker started", name=worker["name"], id=worker["id"])
+        self.note("worker started", name=worker["name"], id=worker["id"], skew_ms=skew_ms)
 
     def drain_file(self, worker):
         return os.path.join(self.dir, worker["name"] + ".drain")
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -5,6 +5,7 @@
 `ms` is the run time, `fails` lists the run numbers that end `failed`, and `checkpoint` is the size of the
 task's checkpoints in bytes if it has any.
 
+`skew_ms` is how far the time of day of the worker's machine is ahead as this lifetime starts.
 A file named by `drain`, once it exists, makes the worker drain.
 
 The worker follows PROTOCOL.md, "Running work units": leases on its own clock, epoch numbers, ends that
@@ -32,7 +33,8 @@
 class Worker:
     def __init__(self, options):
         self.options = options
-        self.born = int(time.time() * 1000)
+        # The time of day of a machine may be off, and may jump between two lifetimes.
+        self.born = int(time.time() * 1000) + options.get("skew_ms", 0)
         self.begin = time.monotonic()
         self.lock = threading.Condition()
         self.token = 0
