--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -31,20 +31,21 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 MAX_HOLD_S = 12
 ROW_BYTES = 65_536
-BOUNDS = """hold-max-ms = 6000
-stop-timeout-ms = 400
-gang-timeout-ms = 3000
-cancel_ms = 3000
+# Those of demands/fraserledger-desk-grown.toml that the programs read or the cases rely on.
+BOUNDS = """hold-max-ms = 10000
+stop-timeout-ms = 900
+gang-timeout-ms = 4000
+cancel_ms = 4000
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
 status_s = 120
-drain-ms = 3000
+drain-ms = 4000
 grace-s = 6
-config-apply-ms = 3000
+config-apply-ms = 4000
 rollback-slack-ms = 250
 revoke-ms = 5000
-contact-ms = 4000
+contact-ms = 5000
 """
 
 
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -22,10 +22,11 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-HOLD_MAX_MS = 6_000
+HOLD_MAX_MS = 10_000
 HEARTBEAT_S = 1.5
 STOP_MS = 100
 CHECKPOINT_MS = 500
+REMAINING_MS = 4_000
 TICK_S = 0.01
 MAX_ENDS = 500
 
@@ -175,7 +176,7 @@
             "sequence": self.sequence, "born": self.born,
         }
         if self.draining:
-            body["remaining-ms"] = 3_000
+            body["remaining-ms"] = REMAINING_MS
         host, port = self.options["control"].split(":")
         try:
             connection = http.client.HTTPConnection(host, int(port), timeout=1)
