Add a case of a late start that reaches the second next lifetime

Cause: a run that is left from an earlier incarnation is forgotten once one later incarnation has answered its stop.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,67 +1,60 @@
-"""A hold call that is carried out late reaches the next lifetime of its worker, and acknowledges an end
-that the agent has not seen."""
+"""A start that is carried out late reaches the second lifetime of its worker after the one that it was
+sent to, while the work unit runs elsewhere."""
 
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 import bed  # noqa: E402
 
-FIRST, SECOND = "3f2ab1c09d8e7f61", "77d0e4c2b1a99f05"
-TASK = SECOND + ".0.0.0"
-WORK_MS = 2_500
-POLL_S = 0.5
-MIN_HOLD_S = 2
-
-
-def step(count):
-    return [{"count": count, "cpu": 3700, "mem-mb": 256, "gpu": 1, "estimate-ms": WORK_MS}]
+JOB = "9b19412096530bb6"
+TASK = JOB + ".0.0.0"
+WORK_MS = 14_000
+HELD_S = 8
+UP_S, DOWN_S = 0.9, 0.5
 
 
 def case(it):
-    worker = it.workers[0]
-    release, times = threading.Event(), {}
+    held = []
 
-    def hold_some(path, call):
-        now = time.monotonic()
-        if path != "/-/hold":
-            return None
-        if call["ack-cursor"] > 0 and "acknowledgement" not in times:
-            times["acknowledgement"] = now
-            return release
-        # One poll is in flight as the work unit of the second job ends.
-        if "end" in times and now > times["end"] - POLL_S - 0.05 and "poll" not in times:
-            times["poll"] = now
-            return MIN_HOLD_S + 1
+    def hold_first_start(path, call):
+        if path == "/-/run-start" and call["task"] == TASK and not held:
+            held.append(call)
+            return HELD_S
         return None
 
+    # The lifetime that ends has run for longer than the later one will have when the call arrives.
+    time.sleep(8)
     if bed.TROUBLE:
-        worker["proxy"].rule = hold_some
-    it.submit(FIRST, step(2), {"ms": 500})
-    it.wait(10, "the first job is shown as completed", lambda: it.state(FIRST, 1) == "completed")
-    it.wait(5, "its ends are taken note of",
-            lambda: len([e for e in it.events("acknowledged") if e["task"].startswith(FIRST)]) == 2)
+        for worker in it.workers:
+            worker["proxy"].rule = hold_first_start
+    accepted = it.submit(JOB, [{"count": 1, "cpu": 3700, "mem-mb": 256, "gpu": 1, "estimate-ms": WORK_MS}],
+                         {"ms": WORK_MS})
+    first = it.wait(10, "the work unit is started", lambda: it.events("start", TASK))[0]
+    worker = next(worker for worker in it.workers if worker["name"] == first["worker"])
     if bed.TROUBLE:
-        it.kill(worker["name"])
-        time.sleep(1)
-        it.start_worker(worker)
-        time.sleep(1)
-    it.submit(SECOND, step(1), {"ms": WORK_MS})
-    start = it.wait(20, "the second job is started", lambda: it.events("start", TASK))[0]
-    times["end"] = start["at"] + WORK_MS / 1000
-    end = it.wait(10, "its work unit ends", lambda: it.events("end", TASK))[0]
-    time.sleep(0.05)
-    release.set()
-    time.sleep(8)
-    noted = [e for e in it.events("acknowledged", TASK) if e["how"] == "done" and e["run"] == end["run"]]
-    again = [e for e in it.events("start", TASK) if e["at"] > end["at"]]
-    if end["how"] == "done" and noted and again:
-        late = again[0]["at"] - noted[0]["at"]
-        return f"TWICE: {TASK} began again {late:.1f} s after its end as done was taken note of"
+        for _ in range(2):
+            time.sleep(UP_S)
+            it.kill(worker["name"])
+            time.sleep(DOWN_S)
+            it.start_worker(worker)
+        it.wait(5, "it is started elsewhere", lambda: it.events("start", TASK)[1:])
+    time.sleep(max(0, accepted + HELD_S + 2 - time.monotonic()))
+    starts, ends = it.events("start", TASK), it.events("end", TASK)
+    killed = [note["at"] for note in it.notes if note["what"] == "signal"]
+    for run in starts:
+        for other in starts:
+            same = (run["worker"], run["born"]) == (other["worker"], other["born"])
+            over = [e["at"] for e in ends if (e["worker"], e["born"], e["run"])
+                    == (run["worker"], run["born"], run["run"])]
+            if run["worker"] == worker["name"]:
+                over += [at for at in killed if at > run["at"]]
+            if not same and run["at"] < other["at"] < min(over, default=time.monotonic()):
+                return (f"TWICE: run {other['run']} of {TASK} began on {other['worker']} while run "
+                        f"{run['run']} was running on {run['worker']}")
     return None
 
 
 if __name__ == "__main__":
-    bed.run(__file__, case, entries=2, workers=1)
+    bed.run(__file__, case, entries=2, workers=3)
