Fence late calls to a worker once contact with it was lost

Cause: a call without an answer may be carried out seconds later, by whichever incarnation of the worker then has the id. That a start was unanswered was kept with its run, and went with it: with a listed end, a stop that one later incarnation answered, a lapsed lease, a written-off run, the end of the agent's process. Unanswered polls were not remembered. The token that a worker compares with the highest it has seen was the planner's epoch, so it told nothing of the worker's incarnations.

Change: the token is the agent's own and rises with each loss of contact: a poll without an answer, a message that names another incarnation, an answer of another one. Only the answer to a call with the present token restores contact, and nothing is started, renewed or acknowledged before. The incarnation that answers so ignores everything that was sent before, whatever became of the runs; there is no list of calls to keep, and no delay to wait out. Tokens begin with the time of day, so a new agent process is above the one before it; one that the worker refuses is raised until it is taken.

The tests of persimmondrift pass.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -10,13 +10,12 @@
 use super::evacuation::{Clearance, PREPARE_WAIT, Verdict};
 use super::grant;
 use super::job::Task;
-use super::mirror::Jobs;
 use super::pace::{Pace, REPORT_INTERVAL};
-use super::record::{self, Incarnation, ROLE_KEY, Worker};
+use super::record::{self, Incarnation, Worker};
 use super::report::{self, Ack, Reporter};
 use super::spec::Specs;
 use super::table::{self, CALL_TIMEOUT, Calls, Error, PAGE_TIMEOUT, Snapshot, Table};
-use crate::unit::{Epoch, Time, Version};
+use crate::unit::{Fence, Time, Version};
 use crate::{log, warn};
 
 /// Time between two stored reports from which on the second one is logged.
@@ -49,16 +48,25 @@
 pub type StartCall = dyn Fn(&Addressee, &Start) -> StartAnswer + Send + Sync;
 /// Stops a run. Returns whether the stop was answered.
 pub type StopCall = dyn Fn(&Addressee, Task, u32) -> bool + Send + Sync;
-/// Polls the worker; `None` if it does not answer.
-pub type PollCall = dyn Fn(&Addressee, &Poll) -> Option<Listing> + Send + Sync;
+/// Polls the worker.
+pub type PollCall = dyn Fn(&Addressee, &Poll) -> Result<Listing, PollError> + Send + Sync;
 
 /// Addressee of a call to the worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Addressee {
     /// Incarnation of the worker; any if its id is empty.
     pub incarnation: Incarnation,
-    /// Fencing token: the highest planner epoch that the agent knows.
-    pub token: Epoch,
+    /// Fencing token of the call.
+    pub token: Fence,
+}
+
+/// Why a poll has no listing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PollError {
+    /// No answer, or one that is no listing.
+    NoAnswer,
+    /// The worker has seen a higher fencing token.
+    Fenced,
 }
 
 /// A start of a run.
@@ -447,10 +455,6 @@
         let read = || -> Result<Reporter, Error> {
             let agent = &shared.identity.agent;
             let row = shared.store.get(Table::Workers, agent)?;
-            let mut role = Jobs::default();
-            if let Some(row) = shared.store.get(Table::Jobs, ROLE_KEY)? {
-                role.apply(&row);
-            }
             let orders = shared.read_orders()?;
             let last: Option<Worker> =
                 row.as_ref().and_then(|row| record::decode(row.value.as_deref()?));
@@ -460,10 +464,12 @@
             let max_lease = shared.identity.max_lease;
             let mut reconciler = Reconciler::new(agent, last.as_ref(), clock::now(), max_lease);
             reconciler.begin_session(reporter.session());
-            reconciler.raise_token(role.role().1.epoch.max(Epoch(1)));
+            // Higher than what an earlier process called the worker with.
+            reconciler.raise_token(Fence(clock::wall_ms()));
             // Before it is used: what a listing shows without an order is stopped.
             reconciler.reset_orders(&orders);
             let mut state = shared.lock();
+            reconciler.raise_token(state.reconciler.token().next());
             if let Some((heard, heartbeat)) = state.reconciler.take_heartbeat() {
                 reconciler.heartbeat(heard, heartbeat);
             }
@@ -548,9 +554,23 @@
             };
             (Shared::poll_addressee(&state), poll, sent)
         };
-        let listing = (shared.worker.poll)(&addressee, &poll);
+        let answer = (shared.worker.poll)(&addressee, &poll);
         let now = clock::now();
         let mut state = shared.lock();
+        let is_current = addressee.token == state.reconciler.token();
+        let listing = match answer {
+            Ok(listing) if is_current => Some(listing),
+            // Contact was lost meanwhile, so another incarnation may have answered.
+            Ok(_) | Err(PollError::Fenced) if !is_current => continue,
+            Ok(_) | Err(PollError::NoAnswer) => {
+                state.reconciler.poll_failed();
+                None
+            }
+            Err(PollError::Fenced) => {
+                state.reconciler.poll_fenced();
+                None
+            }
+        };
         if let Some(listing) = listing {
             let known = state.reconciler.last_listed();
             for (number, task, run, ending, _) in &listing.finished {
@@ -565,7 +585,6 @@
             drop(state);
             shared.changed.notify_all();
         } else {
-            state.reconciler.poll_failed();
             if state.reconciler.end_lapsed(now) {
                 warn!(LeaseLapsed, "life={}", state.reconciler.incarnation());
                 state.urgent = true;
@@ -708,8 +727,9 @@
     };
     let poll = Poll { deadline_ms: None, ack_cursor: 0, wait: Duration::ZERO };
     let sent = clock::now();
-    let listing = (shared.worker.poll)(&addressee, &poll);
+    let answer = (shared.worker.poll)(&addressee, &poll);
     let mut state = shared.lock();
+    let listing = answer.ok().filter(|_| addressee.token == state.reconciler.token());
     let is_next = state.reconciler.identified(sent, clock::now(), listing.as_ref());
     log_crash(state.reconciler.take_crash());
     if let Some(listing) = listing {
--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -18,7 +18,7 @@
     self, Condition, End, Ending, Incarnation, Loss, Order, OrderTask, Running, Worker,
 };
 use super::table::{Row, Snapshot};
-use crate::unit::{Epoch, Time};
+use crate::unit::{Fence, Time};
 
 use proof::Proof;
 pub use run::{MAX_CHECKPOINT_BYTES, START_PERIOD};
@@ -44,6 +44,11 @@
 const MAX_LATE_ENDS: usize = 32;
 /// Time after which a call without an answer is no longer carried out.
 const MAX_CALL_DELAY: Duration = Duration::from_secs(3);
+/// Increase of the fencing token after the first poll that the worker refused for it; doubles with each
+/// further one. Tokens begin with the time of day in milliseconds, which may have been set back.
+const FENCED_STEP: u64 = 1_000;
+/// Number of times that the increase doubles.
+const MAX_FENCED_DOUBLINGS: u32 = 32;
 /// Time for which a loss or a late end is reported, so that the planner reads it at least once.
 const LOSS_RETENTION: Duration = Duration::from_mins(1);
 
@@ -262,7 +267,8 @@
     clock: Option<WorkerClock>,
     /// When the worker last answered a poll.
     last_answer: Option<Time>,
-    /// Whether the last poll was answered. If not, another incarnation may be up.
+    /// Whether the known incarnation has answered a call with the present token. If not, another one
+    /// may be up.
     is_confirmed: bool,
     /// Lowest number of an end in the last listing; `None` if it had none.
     first_listed: Option<u64>,
@@ -274,7 +280,11 @@
     listed: u64,
     /// Ends up to this number are in a stored report.
     ack_cursor: u64,
-    token: Epoch,
+    /// Rises with each loss of contact, so that the incarnation which answers next ignores all calls that
+    /// were sent before: each may be carried out seconds later.
+    token: Fence,
+    /// Polls refused for their token since the last one that was answered.
+    fenced_polls: u32,
     /// Newest crash that was not taken yet.
     crash: Option<Crash>,
     /// Runs whose start was in flight when the worker's last crash became known.
@@ -335,7 +345,8 @@
             max_lease,
             listed: 0,
             ack_cursor: 0,
-            token: Epoch(0),
+            token: Fence(0),
+            fenced_polls: 0,
             crash: None,
             pending: BTreeSet::new(),
             starts: Starts::Allowed,
@@ -423,7 +434,7 @@
         }
         let since = now;
         self.announced = Some(Announced { incarnation, heartbeat, since, in_flight, not_before });
-        self.is_confirmed = false;
+        self.lose_contact();
     }
 
     /// Returns whether another incarnation was announced and no call has shown yet which one is up.
@@ -566,7 +577,24 @@
     /// Records that a poll got no answer. Until one does, the worker is started nothing on, and neither
     /// its lease is renewed nor are its ends acknowledged, since another incarnation may be up.
     pub fn poll_failed(&mut self) {
+        self.lose_contact();
+    }
+
+    /// Records that the worker refused a poll since it has seen a higher token: an earlier agent process
+    /// began with a later time of day.
+    pub fn poll_fenced(&mut self) {
         self.is_confirmed = false;
+        let step = FENCED_STEP << self.fenced_polls;
+        self.token = Fence(self.token.0.saturating_add(step));
+        self.fenced_polls = (self.fenced_polls + 1).min(MAX_FENCED_DOUBLINGS);
+    }
+
+    /// Records that another incarnation may be up. Whichever answers next is to ignore what was sent
+    /// before.
+    fn lose_contact(&mut self) {
+        if std::mem::take(&mut self.is_confirmed) {
+            self.token = self.token.next();
+        }
     }
 
     /// Returns whether the last poll was answered, and not long ago.
@@ -575,15 +603,16 @@
         self.is_confirmed && self.last_answer.is_some_and(is_recent)
     }
 
-    /// Returns the fencing token of the next call.
+    /// Returns the fencing token of the next call. Only the answer to a call with this token tells which
+    /// incarnation is up.
     #[must_use]
-    pub fn token(&self) -> Epoch {
+    pub fn token(&self) -> Fence {
         self.token
     }
 
-    /// Raises the fencing token to a planner's epoch, unless it is higher already.
-    pub fn raise_token(&mut self, epoch: Epoch) {
-        self.token = self.token.max(epoch);
+    /// Raises the fencing token, unless it is higher already.
+    pub fn raise_token(&mut self, token: Fence) {
+        self.token = self.token.max(token);
     }
 
     /// Returns the incarnation that calls are addressed to.
@@ -616,6 +645,7 @@
     /// Applies the worker's answer to a poll that was sent at `sent`. Returns whether runs have
     /// ended or the worker has a new incarnation.
     pub fn apply_listing(&mut self, sent: Time, now: Time, listing: &Listing) -> bool {
+        let was_confirmed = self.is_confirmed;
         let answerer = self.answerer(sent, now, listing.started_ms);
         // Nothing was ordered for an incarnation that no heartbeat has named yet.
         let is_unnamed = answerer == Answerer::Next && self.incarnation.id.is_empty();
@@ -627,7 +657,10 @@
         };
         self.clock = Some(WorkerClock { reading_ms: listing.clock_ms, read_at: now });
         self.last_answer = Some(now);
-        self.is_confirmed = self.announced.is_none();
+        // A token that the incarnation before was called with stops none of those calls here.
+        let is_fenced = answerer == Answerer::Known || !was_confirmed;
+        self.is_confirmed = self.announced.is_none() && is_fenced;
+        self.fenced_polls = 0;
         self.first_listed = listing.finished.iter().map(|(number, ..)| *number).min();
         if self.last_heartbeat.as_ref().is_some_and(|last| self.is_ahead(now, last.clock_ms)) {
             self.last_heartbeat = None;
@@ -966,7 +999,7 @@
         self.drain_deadline = None;
         self.clock = None;
         self.last_answer = None;
-        self.is_confirmed = false;
+        self.lose_contact();
         self.first_listed = None;
         self.lease_until =
             if self.runs.is_empty() { Time(0) } else { now + self.longest_late_lease() };
@@ -1013,9 +1046,6 @@
         let (has_left, leaving) = (self.has_left(), self.is_leaving());
         let ordered_runs = ordered_runs(&self.orders);
         let inherited = self.inherited.as_ref();
-        let epochs =
-            self.orders.iter().map(|(_, version, order)| order.epoch.min(Epoch::limit(version)));
-        let token = epochs.max().unwrap_or_default().max(self.token);
         // The planner has processed the ends of runs that it no longer orders, or has written the
         // runs off before it knew of a crash.
         let is_processed =
@@ -1055,7 +1085,6 @@
             }
         }
         let ordered_keys: BTreeSet<(Task, u32)> = ordered_runs.into_keys().collect();
-        self.token = token;
         for loss in unknown_crashes {
             self.add_loss(loss);
         }
--- a/persimmondrift/src/unit.rs
+++ b/persimmondrift/src/unit.rs
@@ -210,6 +210,11 @@
     /// Fencing number of a holder of a zone's planner role. A higher epoch fences out a lower one.
     Epoch, u64
 );
+number!(
+    /// Fencing token of an agent's calls to its worker. A worker ignores calls with a lower one than the
+    /// highest that it has seen since its start.
+    Fence, u64
+);
 number!(
     /// Number of an accepted configuration. 0 is the empty configuration.
     Version, u64
@@ -288,6 +293,14 @@
     }
 }
 
+impl Fence {
+    /// Returns the token that follows this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 impl From<Millis> for Duration {
     fn from(millis: Millis) -> Self {
         Self::from_millis(millis.0)
--- a/persimmondrift/tests/agent_clearance.rs
+++ b/persimmondrift/tests/agent_clearance.rs
@@ -105,7 +105,7 @@
             thread::sleep(POLL);
             let started = polls.started.lock().expect("not poisoned");
             let running = started.iter().map(|(task, run)| (*task, *run, String::new(), 0));
-            Some(Listing {
+            Ok(Listing {
                 started_ms: 1,
                 clock_ms: millis(begin),
                 running: running.collect(),
--- a/persimmondrift/tests/odd_rows.rs
+++ b/persimmondrift/tests/odd_rows.rs
@@ -10,7 +10,7 @@
     self, Incarnation, Job, Order, OrderTask, Progress, ROLE_KEY, Role, State, Worker,
 };
 use persimmondrift::cell::table::{Row, Snapshot, Table, Write};
-use persimmondrift::unit::{Epoch, StoreTime, Time, Version};
+use persimmondrift::unit::{Epoch, Fence, StoreTime, Time, Version};
 use standin::cell::{self, Cell};
 
 const WORKERS: usize = 3;
@@ -227,7 +227,7 @@
     let version = Version(20);
     let row = Row { table: Table::Orders, key, version, value: Some(record::encode(&order)) };
     agent.reset_orders(&Snapshot { rows: vec![row], version, now: StoreTime(0) });
-    assert!(agent.token() <= Epoch(20), "{}", agent.token());
+    assert!(agent.token() <= Fence(20), "{}", agent.token());
 }
 
 /// Guards against the overflow of a lease whose end no clock shows.
--- a/standin/src/cell.rs
+++ b/standin/src/cell.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use persimmondrift::cell::access::{Config, Queue, Workspace};
-use persimmondrift::cell::duty::{Action, Heartbeat, Reconciler, StartAnswer};
+use persimmondrift::cell::duty::{Action, Heartbeat, Listing, Reconciler, StartAnswer};
 use persimmondrift::cell::entry::Settings;
 use persimmondrift::cell::evacuation::{Clearance, Evacuation, Verdict, Zones};
 use persimmondrift::cell::grant;
@@ -24,7 +24,7 @@
 use persimmondrift::cell::table::{
     Batch, MAX_BATCH_ENTRIES, MAX_ROW_BYTES, Outcome, Row, Table, Write,
 };
-use persimmondrift::unit::{Epoch, StoreTime, Time, Version};
+use persimmondrift::unit::{Fence, StoreTime, Time, Version};
 
 pub use rows::{MAX_BATCH_BYTES, Rows, check_limits};
 pub use target::{ACCELERATOR_CORES, CAPACITY, Failure, Size, Target};
@@ -547,18 +547,8 @@
             let heartbeat = heartbeat(&vm.worker, &vm.rack, vm.heartbeats);
             urgent = agent.reconciler.heartbeat(now, heartbeat);
         }
-        let addressee = agent.reconciler.poll_incarnation().id;
-        let listing = if vm.unheard {
-            None
-        } else {
-            let (deadline_ms, acked) =
-                (agent.reconciler.renew_lease(now), agent.reconciler.ack_cursor(now));
-            let listing = vm.worker.list_runs(&addressee, deadline_ms, acked);
-            if listing.is_none() {
-                agent.reconciler.poll_failed();
-            }
-            listing
-        };
+        let reached = (!vm.unheard).then_some(&mut vm.worker);
+        let listing = reached.and_then(|worker| poll(&mut agent.reconciler, worker, now));
         let ended = listing
             .is_some_and(|listing| agent.reconciler.apply_listing(now, now, &listing))
             || agent.reconciler.end_lapsed(now);
@@ -590,15 +580,20 @@
         self.zone_reads += check_clearance(path, agent, &vm.zone, now);
         while let Some(action) = agent.reconciler.next_call(now) {
             let addressee = agent.reconciler.incarnation().id.clone();
+            let token = agent.reconciler.token();
             match action {
                 Action::Identify => {
-                    let listing = vm.worker.list_runs("", None, 0);
+                    let is_fenced = vm.worker.is_fenced("", token);
+                    let listing = vm.worker.list_runs("", None, 0).filter(|_| !is_fenced);
                     agent.reconciler.identified(now, now, listing.as_ref());
                 }
                 Action::Start { task, run, checkpoint, deadline_ms, .. } => {
                     let size = size_of(&self.requests, &self.work_ms_by_job, task);
-                    let answer =
-                        vm.worker.start(&addressee, (task, run), size, &checkpoint, deadline_ms);
+                    let answer = if vm.worker.is_fenced(&addressee, token) {
+                        StartAnswer::Fenced
+                    } else {
+                        vm.worker.start(&addressee, (task, run), size, &checkpoint, deadline_ms)
+                    };
                     let lost = self.unanswered.contains(&task) && answer == StartAnswer::Started;
                     if lost {
                         agent.lost_start = Some((now + CALL_TIMEOUT, task, run));
@@ -617,7 +612,8 @@
                     }
                 }
                 Action::Stop { task, run } => {
-                    let answered = vm.worker.stop(&addressee, (task, run));
+                    let answered = !vm.worker.is_fenced(&addressee, token)
+                        && vm.worker.stop(&addressee, (task, run));
                     agent.reconciler.stop_call_done(now, task, run, answered);
                     if !answered {
                         break;
@@ -754,12 +750,27 @@
     let reporter = Reporter::new(name, boot, version, last.as_ref());
     let mut reconciler = Reconciler::new(name, last.as_ref(), now, MAX_LEASE);
     reconciler.begin_session(reporter.session());
-    reconciler.raise_token(Epoch(1));
+    reconciler.raise_token(Fence(now.0));
     reconciler.reset_orders(&orders);
     let clearance = evacuate_within.map(Clearance::new);
     Agent { reconciler, reporter, reported: now, lost_start: None, clearance }
 }
 
+/// Polls a worker as its agent does.
+fn poll(agent: &mut Reconciler, worker: &mut Target, now: Time) -> Option<Listing> {
+    let addressee = agent.poll_incarnation().id;
+    let (deadline_ms, acked) = (agent.renew_lease(now), agent.ack_cursor(now));
+    if worker.is_fenced(&addressee, agent.token()) {
+        agent.poll_fenced();
+        return None;
+    }
+    let listing = worker.list_runs(&addressee, deadline_ms, acked);
+    if listing.is_none() {
+        agent.poll_failed();
+    }
+    listing
+}
+
 /// Returns what an agent reports of its worker.
 fn worker_report(agent: &Agent, zone: &str, now: Time) -> Worker {
     Worker { zone: zone.to_owned(), ..agent.reconciler.report(now) }
--- a/standin/src/cell/target.rs
+++ b/standin/src/cell/target.rs
@@ -7,6 +7,7 @@
 use persimmondrift::cell::duty::{Listing, StartAnswer};
 use persimmondrift::cell::job::{Group, Resources, Task};
 use persimmondrift::cell::record::{Ending, Incarnation};
+use persimmondrift::unit::Fence;
 
 /// Capacity of a new worker.
 pub const CAPACITY: Resources =
@@ -74,6 +75,7 @@
     deadline_ms: u64,
     /// Id of the incarnation that it is addressed to; any if it is empty.
     addressee: String,
+    token: Fence,
 }
 
 /// A simulated worker.
@@ -94,6 +96,8 @@
     earlier_capacities: Vec<(u64, Resources)>,
     /// Starts after which the runs in progress exceeded the capacity.
     pub starts_over_capacity: Vec<(Task, u32)>,
+    /// Highest fencing token that the incarnation has seen.
+    token: Fence,
     next_end: u64,
     /// Ends up to this number were listed.
     listed_end: u64,
@@ -279,6 +283,9 @@
         let due: Vec<DelayedStart> =
             self.delayed_starts.extract_if(.., |start| start.at_ms <= self.true_ms).collect();
         for start in due {
+            if self.is_lower(start.token) {
+                continue;
+            }
             self.carry_out(
                 start.sent_ms,
                 (start.task, start.run),
@@ -315,6 +322,23 @@
         }
     }
 
+    /// Takes note of the fencing token of a call, if the call reaches the worker. Returns whether the
+    /// worker ignores the call, since it has seen a higher token.
+    pub fn is_fenced(&mut self, addressee: &str, token: Fence) -> bool {
+        let reaches = is_addressed(addressee, &self.incarnation) && !self.is_down();
+        if !reaches || self.failure == Failure::Unresponsive {
+            return false;
+        }
+        self.is_lower(token)
+    }
+
+    /// Takes note of a fencing token. Returns whether it is lower than one that was seen before.
+    fn is_lower(&mut self, token: Fence) -> bool {
+        let is_lower = token < self.token;
+        self.token = self.token.max(token);
+        is_lower
+    }
+
     /// Extends the lease, discards the ends numbered up to `acked`, and returns the runs. Returns
     /// `None` if the worker is unresponsive or the call is addressed to another id; any is addressed
     /// if the id is empty.
@@ -376,6 +400,7 @@
                     checkpoint,
                     deadline_ms,
                     addressee: addressee.to_owned(),
+                    token: self.token,
                 });
                 StartAnswer::NoAnswer
             }
