Count a late lease on the longest delay of a call, 12 s

MAX_CALL_DELAY was 3 s, while the users delay orders by up to 12 s. It bounds when the lease of a next incarnation that never answers has ended, so the agent counted a run as over that a start carried out 11.9 s late had yet to begin.

Only workers that are back under their id, or have announced it, and then answer nothing wait for it; one that answers is settled by its first listing.

late_start_holds_full_lease also plays a delay of 11.9 s with a full lease; with the bound of 3 s it fails (the run counts as over before its start is carried out), and passes with 12 s. nobody_answers held the run for 3 s after the lease, which was the wrong bound itself; it now demands 12 s and is as strict.

--- a/persimmondrift/src/cell/duty.rs
+++ b/persimmondrift/src/cell/duty.rs
@@ -42,8 +42,6 @@
 const MAX_LOSSES: usize = 128;
 /// Maximum number of late ends in a report.
 const MAX_LATE_ENDS: usize = 32;
-/// Time after which a call without an answer is no longer carried out.
-const MAX_CALL_DELAY: Duration = Duration::from_secs(3);
 /// Increase of the fencing token after the first poll that the worker refused for it; doubles with each
 /// further one. Tokens begin with the time of day in milliseconds, which may have been set back.
 const FENCED_STEP: u64 = 1_000;
@@ -1011,7 +1009,7 @@
     /// Returns how long the next incarnation may run what was sent before it was known. Its clock begins
     /// anew, so it holds a full lease from when it carries out a start.
     fn longest_late_lease(&self) -> Duration {
-        grant::longest_lease(self.max_lease) + MAX_CALL_DELAY
+        grant::longest_lease(self.max_lease) + grant::MAX_CALL_DELAY
     }
 
     /// Returns how the runs that count as having run on the worker have ended if it has crashed.
--- a/persimmondrift/src/cell/grant.rs
+++ b/persimmondrift/src/cell/grant.rs
@@ -11,6 +11,8 @@
 
 /// Slowest rate of a worker's clock, in percent of the true rate.
 const MIN_CLOCK_RATE_PERCENT: u64 = 98;
+/// Longest delay after which a worker carries out a call that got no answer (docs/QUESTIONS.md).
+pub const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 /// Subtracted from a worker's maximum lease, for the delay of the call.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 /// Added by the planner to the end of a grant, to cover inaccuracy between two clocks.
--- a/persimmondrift/tests/incarnation_races.rs
+++ b/persimmondrift/tests/incarnation_races.rs
@@ -104,12 +104,19 @@
 /// that incarnation became known, not from when it may have begun the run.
 #[test]
 fn late_start_holds_full_lease() {
+    // The delay of the start, and the end of its lease by the worker's clock.
+    for (delay, deadline_ms) in [(1_500, 7_000), (11_900, 40_000)] {
+        assert_full_lease(Duration::from_millis(delay), deadline_ms);
+    }
+}
+
+fn assert_full_lease(delay: Duration, deadline_ms: u64) {
     let mut worker = Target::new(STARTED_MS, 1);
     assert_eq!(worker.incarnation(), incarnation(STARTED_MS));
     let mut agent = agent();
-    worker.failure = Failure::DelayedStarts(Duration::from_millis(1_500));
+    worker.failure = Failure::DelayedStarts(delay);
     let size = Size { need: NEED, work_ms: 20_000, checkpoints: false };
-    let answer = worker.start(ID, (task(), RUN), size, "", 7_000);
+    let answer = worker.start(ID, (task(), RUN), size, "", deadline_ms);
     assert_eq!(answer, StartAnswer::NoAnswer);
     worker.crash_same_id(Duration::from_millis(200));
     let (mut millis, step) = (100, Duration::from_millis(10));
--- a/persimmondrift/tests/same_id_restart.rs
+++ b/persimmondrift/tests/same_id_restart.rs
@@ -230,8 +230,8 @@
     let mut agent = agent();
     start(&mut agent, at(100), StartAnswer::NoAnswer);
     begin_next(&mut agent, at(500), heartbeat(2, ID));
-    // A start that is carried out 3 s late holds a full lease, on a clock that is 2 % slow.
-    let held = MAX_LEASE * 100 / 98 + Duration::from_secs(3);
+    // A start that is carried out 12 s late holds a full lease, on a clock that is 2 % slow.
+    let held = MAX_LEASE * 100 / 98 + Duration::from_secs(12);
     assert!(!agent.end_lapsed(at(500) + held));
     assert_held(&agent, at(500) + held);
     let lapsed = at(501) + held;
