Raise the token of calls to a worker only for a new incarnation

Since the token rose with each loss of contact, also when the known incarnation answered again. Late starts in the incarnation that they were sent to were then refused as fenced, so workers that leave calls without an answer began less of what they were given.

Now the token rises when another incarnation answers, and that one gets nothing before it has answered a call with the new token. What is late in the same incarnation counts as before. An incarnation that is identified beside a waiting poll is asked twice at once, so it need not wait for that poll.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -560,7 +560,7 @@
         let is_current = addressee.token == state.reconciler.token();
         let listing = match answer {
             Ok(listing) if is_current => Some(listing),
-            // Contact was lost meanwhile, so another incarnation may have answered.
+            // Another incarnation became known meanwhile, and this one may be earlier.
             Ok(_) | Err(PollError::Fenced) if !is_current => continue,
             Ok(_) | Err(PollError::NoAnswer) => {
                 state.reconciler.poll_failed();
@@ -719,8 +719,16 @@
     }
 }
 
-/// Asks which incarnation of the worker is up, beside a poll that may still wait for its answer.
+/// Asks which incarnation of the worker is up, beside a poll that may still wait for its answer. A new one
+/// is asked again, since it has not seen its token yet.
 fn identify(shared: &Shared) {
+    if ask_incarnation(shared) {
+        ask_incarnation(shared);
+    }
+}
+
+/// Returns whether a new incarnation has answered.
+fn ask_incarnation(shared: &Shared) -> bool {
     let (known, addressee) = {
         let state = shared.lock();
         (state.reconciler.incarnation().clone(), Shared::poll_addressee(&state))
@@ -738,9 +746,10 @@
     }
     if is_next {
         state.urgent = true;
-        drop(state);
-        shared.changed.notify_all();
     }
+    drop(state);
+    shared.changed.notify_all();
+    is_next
 }
 
 fn log_crash(crash: Option<Crash>) {
