Match the token of a poll's answer before the answer

The arms of the match in poll_loop had to be read twice to see that no listing with a lower token gets through. Same behaviour: an answer to a call with a lower token is dropped, any other is handled by its kind.

--- a/persimmondrift/src/cell/agent.rs
+++ b/persimmondrift/src/cell/agent.rs
@@ -559,10 +559,10 @@
         let mut state = shared.lock();
         let is_current = addressee.token == state.reconciler.token();
         let listing = match answer {
-            Ok(listing) if is_current => Some(listing),
             // Another incarnation became known meanwhile, and this one may be earlier.
             Ok(_) | Err(PollError::Fenced) if !is_current => continue,
-            Ok(_) | Err(PollError::NoAnswer) => {
+            Ok(listing) => Some(listing),
+            Err(PollError::NoAnswer) => {
                 state.reconciler.poll_failed();
                 None
             }
