--- a/persimmondrift/tests/common/mod.rs
+++ b/persimmondrift/tests/common/mod.rs
@@ -1,14 +1,15 @@
-//! What an agent hears of its worker, and an order for one task.
+//! What an agent hears of its worker, an order for one task, and jobs of a cell.
 
 #![allow(dead_code, reason = "not each test file uses all of it")]
 
 use std::time::Duration;
 
 use persimmondrift::cell::duty::{Heartbeat, Listing, Reconciler};
-use persimmondrift::cell::job::{Group, Id, Resources, Task};
-use persimmondrift::cell::record::{self, Incarnation, Order, OrderTask};
+use persimmondrift::cell::job::{Group, Id, Request, Resources, Step, Task};
+use persimmondrift::cell::record::{self, Incarnation, Order, OrderTask, State};
 use persimmondrift::cell::table::{Row, Table};
 use persimmondrift::unit::{Epoch, Time, Version};
+use standin::cell::Cell;
 
 pub const BEGIN: Time = Time(100_000_000);
 /// Resources of the task.
@@ -70,3 +71,25 @@
     agent.heartbeat(now, heartbeat);
     agent.identified(now, now, Some(&listing(started_ms, false)));
 }
+
+/// Returns a job of one step.
+pub fn request(width: u16) -> Request {
+    let need = Resources { millicores: 4_000, mebibytes: 1_024, accelerators: 1 };
+    let step = Step { width, need, estimate_ms: 3_000, ..Step::default() };
+    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
+}
+
+/// Runs a cell until its jobs, from 1 to `jobs`, have ended.
+///
+/// # Errors
+///
+/// Returns what went wrong in the cell, with its seed.
+pub fn finish(mut cell: Cell, jobs: u64, seed: u64) -> Result<(), String> {
+    let is_final = |cell: &Cell, id: u64| cell.state(Id(id)).is_some_and(State::is_final);
+    let ended =
+        cell.run_until(Duration::from_mins(2), |cell| (1..=jobs).all(|id| is_final(cell, id)));
+    if !cell.violations.is_empty() {
+        return Err(format!("seed {seed}: {:#?}", cell.violations));
+    }
+    if ended { Ok(()) } else { Err(format!("seed {seed}: a job has not ended")) }
+}
--- a/persimmondrift/tests/late_calls.rs
+++ b/persimmondrift/tests/late_calls.rs
@@ -5,10 +5,12 @@
 
 use std::time::Duration;
 
-use common::{BEGIN, NEED, RUN, at, begin_next, heartbeat, incarnation, listing, order, task};
+use common::{
+    BEGIN, NEED, RUN, at, begin_next, heartbeat, incarnation, listing, order, request, task,
+};
 use fastrand::Rng;
 use persimmondrift::cell::duty::{Action, Listed, Reconciler, StartAnswer};
-use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::job::Id;
 use persimmondrift::cell::record::{Ending, State};
 use persimmondrift::cell::table::Snapshot;
 use persimmondrift::unit::Fence;
@@ -21,12 +23,6 @@
 const SHORT_WORK: Duration = Duration::from_millis(2_500);
 const LONG_WORK: Duration = Duration::from_secs(14);
 
-fn request(width: u16) -> Request {
-    let need = Resources { millicores: 4_000, mebibytes: 1_024, accelerators: 1 };
-    let step = Step { width, need, estimate_ms: 3_000, ..Step::default() };
-    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
-}
-
 fn completed(cell: &Cell) -> bool {
     cell.state(JOB) == Some(State::Completed)
 }
@@ -212,13 +208,7 @@
         }
         cell.run(Duration::from_secs(2));
     }
-    let is_final = |cell: &Cell, id: u64| cell.state(Id(id)).is_some_and(State::is_final);
-    let ended =
-        cell.run_until(Duration::from_mins(2), |cell| (1..=JOBS).all(|id| is_final(cell, id)));
-    if !cell.violations.is_empty() {
-        return Err(format!("seed {seed}: {:#?}", cell.violations));
-    }
-    if ended { Ok(()) } else { Err(format!("seed {seed}: a job has not ended")) }
+    common::finish(cell, JOBS, seed)
 }
 
 #[test]
--- a/persimmondrift/tests/same_id_restart.rs
+++ b/persimmondrift/tests/same_id_restart.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use common::{BEGIN, RUN, at, begin_next, heartbeat, incarnation, listing, order, task};
+use common::{BEGIN, RUN, at, begin_next, heartbeat, incarnation, listing, order, request, task};
 use fastrand::Rng;
 use persimmondrift::cell::duty::{Action, Heartbeat, Listed, Listing, Reconciler, StartAnswer};
-use persimmondrift::cell::job::{Id, Request, Resources, Step};
+use persimmondrift::cell::job::Id;
 use persimmondrift::cell::record::{self, End, Ending, Running, State, Worker};
 use persimmondrift::cell::table::Snapshot;
 use persimmondrift::unit::Time;
@@ -403,12 +403,6 @@
     assert_eq!(*agent.incarnation(), incarnation(3, OTHER_ID));
 }
 
-fn request(width: u16) -> Request {
-    let need = Resources { millicores: 4_000, mebibytes: 1_024, accelerators: 1 };
-    let step = Step { width, need, estimate_ms: 3_000, ..Step::default() };
-    Request { spec: "render".to_owned(), steps: vec![step], schedule: None }
-}
-
 fn delayed(cell: &mut Cell, workers: usize) -> Option<usize> {
     (0..workers).find(|vm| cell.worker(*vm).delayed_starts().next().is_some())
 }
@@ -508,13 +502,7 @@
         // No call is delayed beyond two crashes.
         cell.run(Duration::from_secs(2));
     }
-    let is_final = |cell: &Cell, id: u64| cell.state(Id(id)).is_some_and(State::is_final);
-    let ended =
-        cell.run_until(Duration::from_mins(2), |cell| (1..=JOBS).all(|id| is_final(cell, id)));
-    if !cell.violations.is_empty() {
-        return Err(format!("seed {seed}: {:#?}", cell.violations));
-    }
-    if ended { Ok(()) } else { Err(format!("seed {seed}: a job has not ended")) }
+    common::finish(cell, JOBS, seed)
 }
 
 #[test]
