--- a/review/lib-3/stage.rs
+++ b/review/lib-3/stage.rs
@@ -182,6 +182,7 @@
 
 // ---------------------------------------------------------------- HTTP
 
+#[derive(Clone)]
 struct Request {
     path: String,
     query: BTreeMap<String, String>,
@@ -351,6 +352,8 @@
 struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
+    /// Whether it answers nothing.
+    silent: AtomicBool,
     begin: Instant,
     record: Arc<Record>,
 }
@@ -383,16 +386,36 @@
         (200, format!(r#"{{"rows":[{rows}],"ver":{version},"now-ms":{now},"more-pages":{more}}}"#))
     }
 
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::SeqCst)
+    }
+
+    /// Answers a call. One that comes or waits while the store is down is never answered.
+    fn receive(&self, request: &Request) -> Answer {
+        let answer = if self.is_silent() { None } else { self.handle(request) };
+        if self.is_silent() {
+            while self.is_silent() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            return None;
+        }
+        answer
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         let text = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match &*request.path {
             "/-/rows-tx" => Some(self.transact(request)),
             "/-/rows-get" => {
-                let (table, part, from, to) = (text("table"), text("part"), text("from"), text("to"));
+                let (table, part, from, to) =
+                    (text("table"), text("part"), text("from"), text("to"));
                 let limit = text("limit").parse().unwrap_or(500).min(500);
                 let state = self.rows.lock().unwrap();
                 let within = state.rows.iter().filter(|((own, in_part, key), _)| {
-                    *own == table && *in_part == part && *key >= from && (to.is_empty() || *key < to)
+                    *own == table
+                        && *in_part == part
+                        && *key >= from
+                        && (to.is_empty() || *key < to)
                 });
                 let all: Vec<String> = within
                     .take(limit + 1)
@@ -409,8 +432,9 @@
                 loop {
                     let first = state.log.partition_point(|(version, ..)| *version <= after);
                     let new = state.log[first..].iter().filter(|(_, key, _)| key.0 == table);
-                    let rows: Vec<String> =
-                        new.map(|(version, key, value)| row_json(key, value.as_deref(), *version)).collect();
+                    let rows: Vec<String> = new
+                        .map(|(version, key, value)| row_json(key, value.as_deref(), *version))
+                        .collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !rows.is_empty() || left.is_zero() {
                         return Some(self.answer(&rows, state.version, false));
@@ -529,8 +553,6 @@
     /// Highest run that was stopped or has ended, by work unit.
     highest: BTreeMap<String, u64>,
     sequence: u64,
-    draining: Option<Instant>,
-    gone: bool,
 }
 
 impl Life {
@@ -547,8 +569,6 @@
             ends: 0,
             highest: BTreeMap::new(),
             sequence: 0,
-            draining: None,
-            gone: false,
         }
     }
 
@@ -594,11 +614,16 @@
     life: Mutex<Life>,
     ended: Condvar,
     up: Arc<AtomicBool>,
+    /// Whether a partition loses all that it sends and is sent.
+    cut: AtomicBool,
+    /// Work unit whose next start gets no answer, and time after which it is carried out.
+    late: Mutex<Option<(String, Duration)>>,
     works: Works,
     record: Arc<Record>,
     /// All starts: work unit, run, time.
     starts: Mutex<Vec<(String, u64, Instant)>>,
-    lives: Mutex<usize>,
+    /// All ends that were taken note of: work unit, how, time.
+    acknowledged: Mutex<Vec<(String, &'static str, Instant)>>,
 }
 
 impl Worker {
@@ -618,13 +643,15 @@
             life: Mutex::new(Life::new(format!("i-{number:04x}-0"))),
             ended: Condvar::new(),
             up: Arc::new(AtomicBool::new(true)),
+            cut: AtomicBool::new(false),
+            late: Mutex::new(None),
             works: Arc::clone(works),
             record: Arc::clone(record),
             starts: Mutex::default(),
-            lives: Mutex::new(0),
+            acknowledged: Mutex::default(),
         });
         let serving = Arc::clone(&worker);
-        let handle: Handler = Arc::new(move |request| serving.handle(request));
+        let handle: Handler = Arc::new(move |request| serving.receive(request));
         serve_while_up(app, Arc::clone(&worker.up), handle);
         let advancing = Arc::clone(&worker);
         thread::spawn(move || {
@@ -655,20 +682,15 @@
     }
 
     fn beat(&self) {
-        if !self.is_up() || self.lock().gone {
+        if !self.is_up() || self.is_cut() {
             return;
         }
         let (path, body) = {
             let mut life = self.lock();
             life.sequence += 1;
             let (cpu, mem, gpu) = self.capacity;
-            let left = life.draining.map(|until| until.saturating_duration_since(Instant::now()));
-            let (state, remaining) = match left {
-                Some(left) => ("draining", format!(r#""remaining-ms":{},"#, left.as_millis())),
-                None => ("ready", String::new()),
-            };
             let body = format!(
-                r#"{{"service":"app","address":"{}","zone":"z-a","version":"v1","slots":8,"state":"{state}",{remaining}"cold-left-ms":0,"capacity":{{"cpu":{cpu},"mem-mb":{mem},"gpu":{gpu}}},"labels":["a","r{}"],"clock-ms":{},"born":{},"sequence":{}}}"#,
+                r#"{{"service":"app","address":"{}","zone":"z-a","version":"v1","slots":8,"state":"ready","cold-left-ms":0,"capacity":{{"cpu":{cpu},"mem-mb":{mem},"gpu":{gpu}}},"labels":["a","r{}"],"clock-ms":{},"born":{},"sequence":{}}}"#,
                 self.app,
                 self.number / 4,
                 life.clock_ms(),
@@ -717,7 +739,8 @@
         drop(works);
         for (task, how) in &ended {
             if let Some(run) = life.end(task, how) {
-                self.record.line(&format!("worker {} ends {task} run {}: {how}", self.number, run.run));
+                self.record
+                    .line(&format!("worker {} ends {task} run {}: {how}", self.number, run.run));
             }
         }
         drop(life);
@@ -726,6 +749,48 @@
         }
     }
 
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Carries out a call that comes over the network, and answers it.
+    fn receive(self: &Arc<Self>, request: &Request) -> Answer {
+        let late = match Json::parse(&request.body) {
+            Some(body) if request.path == "/-/run-start" => {
+                let mut late = self.late.lock().unwrap();
+                late.take_if(|(task, _)| body.get("task").text() == task)
+            }
+            _ => None,
+        };
+        if let Some((task, delay)) = late {
+            self.record.line(&format!(
+                "worker {} leaves a start of {task} unanswered, and carries it out {} ms later",
+                self.number,
+                delay.as_millis()
+            ));
+            let (worker, request) = (Arc::clone(self), request.clone());
+            thread::spawn(move || {
+                thread::sleep(delay);
+                let answer = worker.handle(&request);
+                let status = answer.map(|(status, _)| status);
+                worker.record.line(&format!(
+                    "worker {} carries the late start out: {status:?}",
+                    worker.number
+                ));
+            });
+            thread::sleep(Duration::from_secs(15));
+            return None;
+        }
+        let answer = if self.is_cut() { None } else { self.handle(request) };
+        if self.is_cut() {
+            while self.is_cut() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            return None;
+        }
+        answer
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         let body = Json::parse(&request.body)?;
         let mut life = self.lock();
@@ -737,7 +802,8 @@
             return Some((421, String::new()));
         }
         let clock = life.clock_ms();
-        let refusal = |reason: &str| Some((409, format!(r#"{{"clock-ms":{clock},"reason":"{reason}"}}"#)));
+        let refusal =
+            |reason: &str| Some((409, format!(r#"{{"clock-ms":{clock},"reason":"{reason}"}}"#)));
         let token = body.get("fencing-token").number().unwrap_or(0);
         if token < life.token {
             return refusal("fence");
@@ -767,7 +833,8 @@
                     return Some((400, String::new()));
                 };
                 let text = body.get("checkpoint").text().to_owned();
-                let saved = text.split('-').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+                let saved =
+                    text.split('-').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
                 self.record.line(&format!(
                     "worker {} starts {task} run {run} spec={} checkpoint_ms={}",
                     self.number,
@@ -802,15 +869,29 @@
             "/-/hold" => {
                 life.extend(body.get("deadline-ms").number());
                 let acked = body.get("ack-cursor").number().unwrap_or(0);
+                for (_, task, run, how, _) in
+                    life.finished.iter().filter(|(number, ..)| *number <= acked)
+                {
+                    self.record.line(&format!(
+                        "worker {} is acknowledged {task} run {run}: {how}",
+                        self.number
+                    ));
+                    self.acknowledged.lock().unwrap().push((task.clone(), *how, Instant::now()));
+                }
                 life.finished.retain(|(number, ..)| *number > acked);
-                let until = Instant::now() + Duration::from_millis(body.get("wait-ms").number().unwrap_or(0));
+                let until = Instant::now()
+                    + Duration::from_millis(body.get("wait-ms").number().unwrap_or(0));
                 let born = life.born;
                 while life.finished.is_empty() && life.born == born && self.is_up() {
                     let left = until.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         break;
                     }
-                    life = self.ended.wait_timeout(life, left.min(Duration::from_millis(20))).unwrap().0;
+                    life = self
+                        .ended
+                        .wait_timeout(life, left.min(Duration::from_millis(20)))
+                        .unwrap()
+                        .0;
                 }
                 if life.born != born || !self.is_up() {
                     return None;
@@ -846,46 +927,26 @@
         }
     }
 
-    /// Ends the worker without notice; it is back as a new lifetime after a time.
-    fn crash(self: &Arc<Self>, down: Duration) {
-        let mut life = self.lock();
-        self.up.store(false, Ordering::SeqCst);
-        let lost: Vec<String> =
-            life.running.iter().map(|(task, own)| format!("{task} run {}", own.run)).collect();
-        self.record.line(&format!("worker {} crashes under {lost:?}", self.number));
-        life.running.clear();
-        drop(life);
+    /// Is cut off for a time; crashes behind the cut and starts again under its id.
+    fn reborn_behind_cut(self: &Arc<Self>, cut: Duration, crash: Duration, down: Duration) {
+        self.cut.store(true, Ordering::SeqCst);
+        self.record.line(&format!("worker {} is cut off for {} ms", self.number, cut.as_millis()));
         let worker = Arc::clone(self);
         thread::spawn(move || {
+            thread::sleep(crash);
+            worker.record.line(&format!("worker {} crashes", worker.number));
+            worker.lock().running.clear();
             thread::sleep(down);
-            let mut lives = worker.lives.lock().unwrap();
-            *lives += 1;
-            *worker.lock() = Life::new(format!("i-{:04x}-{lives}", worker.number));
-            worker.up.store(true, Ordering::SeqCst);
-            worker.record.line(&format!("worker {} is back", worker.number));
+            let id = worker.lock().id.clone();
+            worker.record.line(&format!("worker {} starts again under its id {id}", worker.number));
+            *worker.lock() = Life::new(id);
+            thread::sleep(cut.saturating_sub(crash + down));
+            worker.cut.store(false, Ordering::SeqCst);
+            worker.record.line(&format!("worker {} is no longer cut off", worker.number));
             worker.beat();
         });
     }
 
-    /// Reports that it drains, leaves after a time, and ends.
-    fn drain(self: &Arc<Self>, left: Duration) {
-        self.lock().draining = Some(Instant::now() + left);
-        self.record.line(&format!("worker {} drains, remaining-ms {}", self.number, left.as_millis()));
-        self.beat();
-        let worker = Arc::clone(self);
-        thread::spawn(move || {
-            thread::sleep(left);
-            let (path, body) = {
-                let life = worker.lock();
-                (format!("/-/Instances.Deregister/{}", life.id), format!(r#"{{"born":{}}}"#, life.born))
-            };
-            call(worker.control, "POST", &path, &[("Host", "node")], &body, Duration::from_secs(1));
-            worker.lock().gone = true;
-            worker.up.store(false, Ordering::SeqCst);
-            worker.record.line(&format!("worker {} has left", worker.number));
-        });
-    }
-
     fn runs(&self, job: &str) -> usize {
         if !self.is_up() {
             return 0;
@@ -916,6 +977,7 @@
 /// A small deployment: entries, agents with their workers, and the store.
 struct Stage {
     record: Arc<Record>,
+    store: Arc<Store>,
     works: Works,
     workers: Vec<Arc<Worker>>,
     programs: Vec<Program>,
@@ -958,6 +1020,7 @@
         let store = Arc::new(Store {
             rows: Mutex::default(),
             changed: Condvar::new(),
+            silent: AtomicBool::new(false),
             begin: Instant::now(),
             record: Arc::clone(&record),
         });
@@ -965,13 +1028,14 @@
         let serving = Arc::clone(&store);
         let handle: Handler = Arc::new(move |request| {
             thread::sleep(Duration::from_millis(3));
-            serving.handle(request)
+            serving.receive(request)
         });
         serve_while_up(store_address, Arc::new(AtomicBool::new(true)), handle);
         store.operate("config", &config());
         let works = Works::default();
         let mut stage = Stage {
             record,
+            store,
             works,
             workers: Vec::new(),
             programs: Vec::new(),
@@ -979,8 +1043,9 @@
             dir,
             trouble,
         };
-        let seeds: Vec<String> =
-            (1..=entries.min(3)).map(|number| format!("\"{}\"", socket(net, number, 8_526))).collect();
+        let seeds: Vec<String> = (1..=entries.min(3))
+            .map(|number| format!("\"{}\"", socket(net, number, 8_526)))
+            .collect();
         for number in 1..=entries + workers {
             let is_entry = number <= entries;
             let at = |port: u16| socket(net, number, port);
@@ -1000,8 +1065,14 @@
                 String::new()
             } else {
                 let index = number - entries - 1;
-                let worker =
-                    Worker::start(index, at(8_600), at(8_526), capacity, &stage.works, &stage.record);
+                let worker = Worker::start(
+                    index,
+                    at(8_600),
+                    at(8_526),
+                    capacity,
+                    &stage.works,
+                    &stage.record,
+                );
                 stage.workers.push(worker);
                 format!("app = \"{}\"\n", at(8_600))
             };
@@ -1038,6 +1109,28 @@
         stage
     }
 
+    /// Takes a machine away for good: its agent is killed, and its worker ends.
+    fn remove_machine(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        worker.up.store(false, Ordering::SeqCst);
+        worker.lock().running.clear();
+        self.record.line(&format!("the machine of worker {index} is removed for good"));
+        let program = &mut self.programs[self.fronts.len() + index];
+        if let Some(mut child) = program.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Lets the store answer nothing for a time.
+    fn silence_store(&self, span: Duration) {
+        self.record.line(&format!("the store is down for {} ms", span.as_millis()));
+        self.store.silent.store(true, Ordering::SeqCst);
+        thread::sleep(span);
+        self.store.silent.store(false, Ordering::SeqCst);
+        self.record.line("the store is back");
+    }
+
     /// Ends all processes, and the script with 2.
     fn give_up(&mut self, why: &str) -> ! {
         self.record.line(&format!("the case can't run: {why}"));
@@ -1072,7 +1165,13 @@
         thread::sleep(Duration::from_secs(4));
     }
 
-    fn client(&self, front: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    fn client(
+        &self,
+        front: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let key = format!("Bearer {KEY}");
         let headers = [
             ("Host", HOST),
@@ -1149,7 +1248,9 @@
 
     /// Ends all processes and reports whether the rule held.
     fn finish(mut self, broken: Option<String>) -> ExitCode {
-        let verdict = broken.as_ref().map_or_else(|| "the rule held".to_owned(), |why| format!("BROKEN: {why}"));
+        let verdict = broken
+            .as_ref()
+            .map_or_else(|| "the rule held".to_owned(), |why| format!("BROKEN: {why}"));
         self.record.line(&verdict);
         println!("{verdict}");
         self.stop();
@@ -1169,8 +1270,8 @@
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
-        Some("long-checkpoints") => long_checkpoints(),
-        Some("two-crashes") => two_crashes(),
+        Some("late-start-behind-cut") => late_start_behind_cut(),
+        Some("silence-counted-anew") => silence_counted_anew(),
         other => {
             eprintln!("no such case: {other:?}");
             ExitCode::from(2)
